--- a/cranberryrill/authority/sending.py
+++ b/cranberryrill/authority/sending.py
@@ -23,6 +23,19 @@
 FENCING_HEADER = 'X-Fencing'
 
 
+@dataclasses.dataclass(frozen=True)
+class SenderHeaders:
+    """Name the headers that say who sends a message, and under which right."""
+
+    sender: str = SENDER_HEADER
+    fencing: str = FENCING_HEADER
+    # Empty where the receiver knows repeats by their content.
+    key: str = KEY_HEADER
+
+
+OWN_HEADERS = SenderHeaders()
+
+
 @dataclasses.dataclass(frozen=True)
 class Message:
     """Hold what the platform is told, with a key that never changes."""
@@ -56,7 +69,9 @@
         base_url: str,
         name: str,
         authority: holding.Authority,
+        named: SenderHeaders = OWN_HEADERS,
     ) -> None:
+        self.named = named
         self.base_url = base_url
         self.name = name
         self.authority = authority
@@ -72,12 +87,7 @@
             self.base_url + message.path,
             method='POST',
             body=message.body,
-            headers={
-                'Content-Type': 'application/json',
-                KEY_HEADER: message.key,
-                SENDER_HEADER: self.name,
-                FENCING_HEADER: str(tenure.fencing),
-            },
+            headers=self._headers(message, tenure),
             connect_timeout=timing.SEND_DEADLINE,
             request_timeout=timing.SEND_DEADLINE,
             follow_redirects=False,
@@ -92,6 +102,20 @@
             return result.Err(NoAnswer(str(error)))
         return result.Ok(answer.code)
 
+    def _headers(
+        self,
+        message: Message,
+        tenure: holding.Tenure,
+    ) -> dict[str, str]:
+        headers = {
+            'Content-Type': 'application/json',
+            self.named.sender: self.name,
+            self.named.fencing: str(tenure.fencing),
+        }
+        if self.named.key:
+            headers[self.named.key] = message.key
+        return headers
+
 
 class Transfer:
     """Guard one exchange by the lease."""
--- a/cranberryrill/configuration/serving.py
+++ b/cranberryrill/configuration/serving.py
@@ -5,8 +5,11 @@
 
 from cranberryrill.configuration import document
 from cranberryrill.state import commands_pb2
+from cranberryrill.traffic import document as traffic_document
 
 Shape = typing.TypeVar('Shape')
+# The one object of its kind: a traffic document, whole.
+TRAFFIC_KIND = 'traffic'
 
 
 class Serving:
@@ -18,12 +21,14 @@
             kind: {} for kind in document.KINDS
         }
         self.keys: dict[bytes, commands_pb2.KeyRecord] = {}
+        self.traffic = traffic_document.EMPTY
 
     def clear(self) -> None:
         """Forget everything, before a full update."""
         for named in self.objects.values():
             named.clear()
         self.keys.clear()
+        self.traffic = traffic_document.EMPTY
 
     def update(
         self,
@@ -33,6 +38,9 @@
     ) -> None:
         """Put the changes of newer revisions in force."""
         for change in changes:
+            if change.kind == TRAFFIC_KIND:
+                self.traffic = traffic_document.decode(change.json)
+                continue
             named = self.objects[change.kind]
             if change.removed:
                 named.pop(change.name, None)
--- a/cranberryrill/configuration/state.py
+++ b/cranberryrill/configuration/state.py
@@ -25,7 +25,7 @@
     """Accept each change against the revision that it was made for."""
 
     name = 'serving'
-    kinds = ('apply_configuration', 'put_key')
+    kinds = ('apply_configuration', 'put_key', 'put_traffic')
 
     def __init__(self) -> None:
         self.serving = serving.Serving()
@@ -50,6 +50,8 @@
         unix_ms: int,
     ) -> message.Message:
         """Apply a change of configuration or of a key."""
+        if command.WhichOneof('kind') == 'put_traffic':
+            return self._put_traffic(command.put_traffic)
         if command.WhichOneof('kind') == 'apply_configuration':
             change = command.apply_configuration
             known = self._known(change.change_id, change.request_digest)
@@ -76,7 +78,9 @@
     ) -> list[commands_pb2.ObjectChange]:
         """Return the changes that lead from here to `wanted`."""
         changes = []
-        missing = set(self.encoded)
+        missing = {
+            place for place in self.encoded if place[0] in document.KINDS
+        }
         for kind in document.KINDS:
             for named in getattr(wanted, kind):
                 missing.discard((kind, named.name))
@@ -202,6 +206,32 @@
             verdict,
         )
 
+    def _put_traffic(
+        self,
+        put: commands_pb2.PutTraffic,
+    ) -> commands_pb2.ChangeOutcome:
+        if put.version <= self.serving.traffic.version:
+            return self._outcome(Verdict.SUPERSEDED)
+        self._forget_old_traffic()
+        whole = commands_pb2.ObjectChange(
+            kind=serving.TRAFFIC_KIND,
+            json=put.content,
+        )
+        self._record(self.serving.revision + 1, (whole,), ())
+        return self._outcome(Verdict.ACCEPTED)
+
+    def _forget_old_traffic(self) -> None:
+        """Keep only the newest document: each replaces the one before."""
+        for step in self.history:
+            kept = [
+                change
+                for change in step.objects
+                if change.kind != serving.TRAFFIC_KIND
+            ]
+            if len(kept) < len(step.objects):
+                step.ClearField('objects')
+                step.objects.extend(kept)
+
     def _is_based(self, revision: int) -> bool:
         """Say whether the configuration of `revision` is still in force."""
         return self.configured_revision <= revision <= self.serving.revision
--- a/cranberryrill/failures.py
+++ b/cranberryrill/failures.py
@@ -142,6 +142,22 @@
     status: typing.ClassVar[int] = http.HTTPStatus.GATEWAY_TIMEOUT
 
 
+@dataclasses.dataclass(frozen=True)
+class NoPlace(Failure):
+    """Every upstream that was asked is full, or no time was left to ask."""
+
+    code: typing.ClassVar[str] = 'no_place'
+    status: typing.ClassVar[int] = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@dataclasses.dataclass(frozen=True)
+class TimedOut(Failure):
+    """The time for the request is over; whether it ran is not known."""
+
+    code: typing.ClassVar[str] = 'timed_out'
+    status: typing.ClassVar[int] = http.HTTPStatus.GATEWAY_TIMEOUT
+
+
 @dataclasses.dataclass(frozen=True)
 class ErrorBody:
     """Hold the published error shape, with `ran` and the request's id."""
--- /dev/null
+++ b/cranberryrill/forwarding/delivery.py
@@ -0,0 +1,414 @@
+"""Bring one request to upstreams and its answer back to the caller."""
+
+import dataclasses
+import http
+import logging
+import typing
+
+from cranberryrill import clock, failures
+from cranberryrill.forwarding import (
+    admission,
+    budget,
+    events,
+    exchange,
+    headers,
+    multi,
+    placement,
+    repeating,
+    reply,
+    separation,
+    upstreams,
+    verdicts,
+    vocabulary,
+)
+
+LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
+# More of an answer than this is passed on before it is whole.
+HELD_BYTES = 262_144
+LOWEST_PRIORITY = 9
+FRAMING = ('content-length', 'transfer-encoding')
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold an upstream's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Tried:
+    """Say how an attempt ended that delivered nothing final."""
+
+    ran: failures.Ran
+    cause: str
+    # Whether the request reached the upstream.
+    arrived: bool = True
+    timed_out: bool = False
+    # The upstream's own failure, which the caller may get unchanged.
+    answer: Answer | None = None
+
+
+class Surroundings(typing.Protocol):
+    """Provide what all deliveries of a process share."""
+
+    names: vocabulary.Vocabulary
+    driver: multi.Driver
+    data_centre: str
+
+    def place(
+        self,
+        admitted: admission.Admitted,
+        tried: frozenset[str],
+        now: float,
+    ) -> placement.Choice | None:
+        """Choose an upstream."""
+
+    def budget_of(self, service: str, now: float) -> budget.Budget:
+        """Return the budget for repeats of a service."""
+
+    def processes(self) -> int:
+        """Return how many processes share a budget."""
+
+    def count_start(self, admitted: admission.Admitted, now: float) -> None:
+        """Count that a request has begun to run."""
+
+    def retry_after(self, admitted: admission.Admitted, now: float) -> float:
+        """Return when a refused caller should come back, in seconds."""
+
+
+class Delivery:
+    """Follow one request to its final answer."""
+
+    def __init__(
+        self,
+        admitted: admission.Admitted,
+        answering: reply.Reply,
+        shared: Surroundings,
+    ) -> None:
+        self.admitted = admitted
+        self.reply = answering
+        self.shared = shared
+        self.progress = repeating.Progress()
+        self.tried: frozenset[str] = frozenset()
+        self.events = events.EventBuffer()
+        self.counted = False
+        self.attempts = 0
+        self.upstream = ''
+        self.outcome = 'caller_left'
+
+    async def run(self) -> None:
+        """Try upstreams until there is a final answer."""
+        while True:
+            now = clock.monotonic_seconds()
+            choice = self.shared.place(self.admitted, self.tried, now)
+            if choice is None:
+                await self._refuse(self._no_upstream(now))
+                return
+            tried = await self._attempt(choice, now)
+            if tried is None:
+                return
+            self._note(tried, choice)
+            if not self._may_try_again(tried):
+                await self._give_up(tried)
+                return
+
+    async def _attempt(
+        self,
+        choice: placement.Choice,
+        now: float,
+    ) -> Tried | None:
+        """Send the request once; return nothing once the answer is final."""
+        upstream = choice.upstream
+        self.attempts += 1
+        self.upstream = upstream.id
+        sent = exchange.Exchange(self._call(upstream, now), self.shared.driver)
+        is_long = separation.writes_long(self.admitted.terms)
+        upstream.begin(sent, choice.missing_tokens, is_long=is_long)
+        try:
+            sent.start()
+            return await self._follow(sent, upstream)
+        finally:
+            sent.stop()
+            upstream.end(sent, is_long=is_long)
+
+    async def _follow(
+        self,
+        sent: exchange.Exchange,
+        upstream: upstreams.Upstream,
+    ) -> Tried | None:
+        while not sent.has_head and sent.ending is None:
+            if not await self._wait(sent):
+                upstream.note_outcome(self._now(), failed=True)
+                return self._timed_out()
+        if not sent.has_head:
+            return _broken_before_head(sent, upstream, self._now())
+        now = self._now()
+        upstream.has_answered(sent)
+        upstream.note_load(sent.first(self.shared.names.load) or '', now)
+        verdict = verdicts.judge(
+            sent,
+            self.admitted.terms.attempt,
+            self.shared.names,
+        )
+        if verdict is verdicts.Verdict.rejected:
+            if sent.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+                upstream.note_replaced(now)
+            return Tried(failures.Ran.no, f'rejected with {sent.status}')
+        upstream.note_outcome(
+            now,
+            failed=verdict is not verdicts.Verdict.success,
+        )
+        if verdict is verdicts.Verdict.foreign:
+            return Tried(failures.Ran.unknown, 'not the answer to it')
+        self._count_start(now)
+        upstream.cached.use(self.admitted.terms.parts)
+        if verdict is verdicts.Verdict.success and self.admitted.route.streams:
+            return await self._relay_events(sent)
+        return await self._relay_whole(sent, verdict)
+
+    async def _relay_whole(
+        self,
+        sent: exchange.Exchange,
+        verdict: verdicts.Verdict,
+    ) -> Tried | None:
+        body = bytearray()
+        while sent.ending is None:
+            body += sent.take_content()
+            if len(body) > HELD_BYTES:
+                return await self._relay_bytes(sent, bytes(body))
+            if not await self._wait(sent):
+                return self._timed_out()
+        body += sent.take_content()
+        if not isinstance(sent.ending, exchange.Complete):
+            return Tried(failures.Ran.unknown, _cause_of(sent))
+        answer = Answer(
+            sent.status,
+            tuple(headers.for_caller(sent.headers)),
+            bytes(body),
+        )
+        if verdict is verdicts.Verdict.failure:
+            return Tried(failures.Ran.yes, 'failed there', answer=answer)
+        await self._send(answer)
+        return None
+
+    async def _relay_bytes(
+        self,
+        sent: exchange.Exchange,
+        body: bytes,
+    ) -> Tried | None:
+        """Pass on an answer that is too large to hold."""
+        await self._start(sent, body)
+        while sent.ending is None or sent.content:
+            content = sent.take_content()
+            if content:
+                await self.reply.extend(content)
+            elif not await self._wait(sent):
+                return self._timed_out()
+        if not isinstance(sent.ending, exchange.Complete):
+            return Tried(failures.Ran.unknown, _cause_of(sent))
+        self._finish()
+        return None
+
+    async def _relay_events(self, sent: exchange.Exchange) -> Tried | None:
+        while True:
+            content = sent.take_content()
+            whole = self.events.feed(content) if content else b''
+            if whole:
+                await self._pass_on(sent, whole)
+            elif sent.ending is not None and not sent.content:
+                break
+            elif not await self._wait(sent):
+                self.events.drop_partial()
+                return self._timed_out()
+        return await self._end_events(sent)
+
+    async def _end_events(self, sent: exchange.Exchange) -> Tried | None:
+        partial = self.events.partial
+        self.events.drop_partial()
+        if not isinstance(sent.ending, exchange.Complete):
+            return Tried(failures.Ran.unknown, _cause_of(sent))
+        if partial and not _is_framed(sent):
+            return Tried(failures.Ran.unknown, 'ended within an event')
+        if partial or not self.reply.started:
+            await self._pass_on(sent, partial)
+        self._finish()
+        return None
+
+    async def _pass_on(self, sent: exchange.Exchange, content: bytes) -> None:
+        if self.reply.started:
+            await self.reply.extend(content)
+        else:
+            await self._start(sent, content)
+
+    async def _start(self, sent: exchange.Exchange, content: bytes) -> None:
+        await self.reply.start(
+            sent.status,
+            headers.for_caller(sent.headers),
+            content,
+        )
+
+    async def _send(self, answer: Answer) -> None:
+        self.outcome = 'answered'
+        await self.reply.send_whole(
+            answer.status,
+            answer.headers,
+            answer.body,
+        )
+
+    def _finish(self) -> None:
+        self.outcome = 'answered'
+        self.reply.finish()
+
+    async def _give_up(self, tried: Tried) -> None:
+        if self.reply.started:
+            # It must not look whole.
+            self.outcome = 'broken_off'
+            return
+        if tried.answer is None:
+            await self._refuse(self._failure_of(tried))
+            return
+        await self._send(tried.answer)
+        self.outcome = 'failed_upstream'
+
+    def _failure_of(self, tried: Tried) -> failures.Failure:
+        if self.progress.ran is failures.Ran.no:
+            return self._no_place(tried)
+        if tried.timed_out:
+            return failures.TimedOut(tried.cause, failures.Ran.unknown)
+        return failures.UpstreamFailed(tried.cause, failures.Ran.unknown)
+
+    async def _refuse(self, failure: failures.Failure) -> None:
+        if self.reply.started:
+            self.outcome = 'broken_off'
+            return
+        self.outcome = failure.code
+        await self.reply.refuse(failure, self.admitted.terms.attempt)
+
+    def _no_upstream(self, now: float) -> failures.Failure:
+        if self.progress.ran is failures.Ran.no:
+            return failures.NoUpstream(
+                'no upstream of the service is known',
+                retry_after_seconds=self.shared.retry_after(self.admitted, now),
+            )
+        return failures.UpstreamFailed(
+            'no other upstream is known',
+            failures.Ran.unknown,
+        )
+
+    def _no_place(self, tried: Tried) -> failures.Failure:
+        return failures.NoPlace(
+            tried.cause,
+            retry_after_seconds=self.shared.retry_after(
+                self.admitted,
+                self._now(),
+            ),
+        )
+
+    def _may_try_again(self, tried: Tried) -> bool:
+        now = self._now()
+        if not repeating.may_try_again(
+            self.admitted.route,
+            self.progress,
+            self.admitted.answer_by - now,
+        ):
+            return False
+        if self.reply.started and not self._can_resume():
+            return False
+        if not tried.arrived:
+            return True
+        service = self.admitted.service.name
+        held = self.shared.budget_of(service, now)
+        return held.spend(now, self.shared.processes())
+
+    def _can_resume(self) -> bool:
+        return self.admitted.route.resumable and bool(self.events.last_id)
+
+    def _note(self, tried: Tried, choice: placement.Choice) -> None:
+        self.progress = self.progress.after(tried.ran)
+        self.tried |= {choice.upstream.id}
+        LOGGER.info(
+            'attempt failed',
+            extra={
+                'request_id': self.admitted.terms.attempt,
+                'upstream': choice.upstream.id,
+                'cause': tried.cause,
+                'ran': tried.ran.value,
+                'events': self.events.events,
+            },
+        )
+
+    def _call(
+        self,
+        upstream: upstreams.Upstream,
+        now: float,
+    ) -> exchange.Call:
+        admitted = self.admitted
+        left = (admitted.answer_by - now) * MILLISECONDS_PER_SECOND
+        priority = None
+        if admitted.service.engine is not None:
+            priority = min(admitted.rank, LOWEST_PRIORITY)
+        dispatch = headers.Dispatch(
+            expected_upstream=upstream.id,
+            deadline_ms=max(int(left), 1),
+            organisation=admitted.organisation,
+            priority=priority,
+            last_event_id=self.events.last_id if self.reply.started else '',
+        )
+        return exchange.Call(
+            upstream.registration.host,
+            upstream.registration.port,
+            admitted.request.method,
+            admitted.request.target,
+            tuple(
+                headers.for_upstream(
+                    admitted.request,
+                    self.shared.names,
+                    dispatch,
+                ),
+            ),
+            admitted.request.body,
+        )
+
+    def _count_start(self, now: float) -> None:
+        if not self.counted:
+            self.counted = True
+            self.shared.count_start(self.admitted, now)
+
+    async def _wait(self, sent: exchange.Exchange) -> bool:
+        return await sent.wait(self.admitted.answer_by - self._now())
+
+    def _now(self) -> float:
+        return clock.monotonic_seconds()
+
+    def _timed_out(self) -> Tried:
+        return Tried(
+            failures.Ran.unknown,
+            'no answer in time',
+            timed_out=True,
+        )
+
+
+def _broken_before_head(
+    sent: exchange.Exchange,
+    upstream: upstreams.Upstream,
+    now: float,
+) -> Tried:
+    if isinstance(sent.ending, exchange.Unsent):
+        upstream.note_unreachable(now)
+        return Tried(failures.Ran.no, sent.ending.cause, arrived=False)
+    upstream.note_outcome(now, failed=True)
+    return Tried(failures.Ran.unknown, _cause_of(sent))
+
+
+def _cause_of(sent: exchange.Exchange) -> str:
+    if isinstance(sent.ending, exchange.Broken):
+        return sent.ending.cause
+    return 'the answer ended early'
+
+
+def _is_framed(sent: exchange.Exchange) -> bool:
+    return any(sent.first(name) is not None for name in FRAMING)
--- /dev/null
+++ b/cranberryrill/forwarding/forwarder.py
@@ -0,0 +1,286 @@
+"""Answer callers' requests with the help of upstreams."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+
+import result
+
+from cranberryrill import clock, failures, identifiers
+from cranberryrill.forwarding import (
+    admission,
+    budget,
+    counting,
+    delivery,
+    instruments,
+    multi,
+    placement,
+    reply,
+    separation,
+    sharing,
+    terms,
+    upstreams,
+    vocabulary,
+)
+from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.traffic import document, matching
+
+LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
+# Refused callers come back spread over this time, in seconds, when nothing
+# tells more about when there will be a place.
+RETRY_LEAST = 0.1
+RETRY_MOST = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Setup:
+    """Hold what one process forwards with."""
+
+    names: vocabulary.Vocabulary
+    data_centre: str
+    repeats: budget.Bounds
+
+
+class Forwarder:
+    """Hold what all deliveries of this process share."""
+
+    def __init__(
+        self,
+        setup: Setup,
+        holder: holding.Holder,
+        usage: counting.UsageCounter,
+        measured: instruments.Instruments,
+        rng: random.Random,
+    ) -> None:
+        self.names = setup.names
+        self.data_centre = setup.data_centre
+        self.repeats = setup.repeats
+        self.holder = holder
+        self.usage = usage
+        self.measured = measured
+        self.rng = rng
+        self.driver = multi.Driver()
+        self.table = matching.RouteTable(document.EMPTY)
+        self.pool = upstreams.Pool()
+        self.others = sharing.OtherLoads()
+        self.placer = placement.Placer(rng)
+        self.budgets: dict[str, budget.Budget] = {}
+        self.long_answers: dict[str, separation.OpenAnswers] = {}
+        self.open: set[asyncio.Task[None]] = set()
+        self.stop: admission.Stop | None = None
+
+    async def run_updates(self) -> None:
+        """Follow the configuration and the registry."""
+        async with self.holder.updated:
+            while True:
+                self.update()
+                await self.holder.updated.wait()
+
+    def update(self) -> None:
+        """Put what the holder holds in force here."""
+        held = self.holder.serving.traffic
+        if held is not self.table.document:
+            self.table = matching.RouteTable(held)
+            LOGGER.info(
+                'configuration in force',
+                extra={'version': held.version, 'routes': len(held.routes)},
+            )
+        cache_tokens = {
+            service.name: service.engine.cache_tokens
+            for service in held.services
+            if service.engine is not None
+        }
+        self.pool.update(self.holder.upstreams, cache_tokens)
+
+    async def serve(
+        self,
+        request: terms.Request,
+        answering: reply.Reply,
+    ) -> None:
+        """Answer one request."""
+        answering.closes = self.stop is not None
+        if not self.holder.may_serve(request.received_at):
+            refused: failures.Failure = admission.not_serving(
+                'the configuration may be out of date',
+            )
+            await self._refuse(request, answering, refused)
+            return
+        admitted = admission.admit(
+            request,
+            self.names,
+            self.table,
+            self.rng.random(),
+        )
+        if isinstance(admitted, result.Err):
+            await self._refuse(request, answering, admitted.err_value)
+            return
+        now = clock.monotonic_seconds()
+        if admission.may_finish(admitted.ok_value, self.stop, now):
+            await self._deliver(admitted.ok_value, answering)
+        else:
+            await self._refuse(request, answering, admission.stopping())
+
+    def place(
+        self,
+        admitted: admission.Admitted,
+        tried: frozenset[str],
+        now: float,
+    ) -> placement.Choice | None:
+        """Choose an upstream, if what is held here is still in force."""
+        if not self.holder.may_serve(now):
+            return None
+        candidates = self.pool.of_service(admitted.service.name)
+        choice = self.placer.choose(
+            self._wanted(admitted, candidates, now),
+            candidates,
+            tried,
+            now,
+        )
+        if choice is not None:
+            LOGGER.info(
+                'request placed',
+                extra={
+                    'request_id': admitted.terms.attempt,
+                    'upstream': choice.upstream.id,
+                    'cost': round(choice.cost, 1),
+                    'missing_tokens': choice.missing_tokens,
+                    'candidates': choice.candidates,
+                    'home': choice.is_home,
+                    'tokens': admitted.terms.prompt_tokens,
+                    'output_tokens': admitted.terms.output_tokens,
+                    'version': admitted.version,
+                    'proof_age_ms': int(
+                        (now - self.holder.fresh_as_of)
+                        * MILLISECONDS_PER_SECOND,
+                    ),
+                },
+            )
+        return choice
+
+    def _wanted(
+        self,
+        admitted: admission.Admitted,
+        candidates: list[upstreams.Upstream],
+        now: float,
+    ) -> placement.Wanted:
+        engine = admitted.service.engine
+        asked = admitted.terms
+        if engine is None:
+            return placement.Wanted(
+                (),
+                '',
+                self.data_centre,
+                is_engine=False,
+                others_open=self.others.open,
+            )
+        open_answers = self._long_answers(admitted.service.name)
+        open_answers.note(
+            sum(
+                known.long_answers + self.others.long[known.id]
+                for known in candidates
+            ),
+            now,
+        )
+        count = separation.count_for_writing(
+            open_answers.recent(now),
+            engine.slots,
+            len(candidates),
+        )
+        return placement.Wanted(
+            parts=asked.parts,
+            session=asked.session,
+            data_centre=self.data_centre,
+            is_engine=True,
+            writes_long=separation.writes_long(asked),
+            for_writing=separation.for_writing(candidates, count),
+            others_reading=self.others.reading,
+            others_open=self.others.open,
+        )
+
+    def _long_answers(self, name: str) -> separation.OpenAnswers:
+        if name not in self.long_answers:
+            self.long_answers[name] = separation.OpenAnswers()
+        return self.long_answers[name]
+
+    def budget_of(self, service: str, now: float) -> budget.Budget:
+        """Return the budget for repeats of a service."""
+        if service not in self.budgets:
+            self.budgets[service] = budget.Budget(self.repeats, now)
+        return self.budgets[service]
+
+    def processes(self) -> int:
+        """Return how many processes share a budget."""
+        return sum(
+            known.role == membership_pb2.Role.ENTRY
+            for known in self.holder.processes.values()
+        )
+
+    def count_start(self, admitted: admission.Admitted, now: float) -> None:
+        """Count that a request has begun to run."""
+        self.usage.count(admitted.organisation, now)
+
+    def retry_after(self, admitted: admission.Admitted, now: float) -> float:
+        """Return when a refused caller should come back, in seconds."""
+        return self.rng.uniform(RETRY_LEAST, RETRY_MOST)
+
+    async def _deliver(
+        self,
+        admitted: admission.Admitted,
+        answering: reply.Reply,
+    ) -> None:
+        now = clock.monotonic_seconds()
+        self.budget_of(admitted.service.name, now).note_request(now)
+        one = delivery.Delivery(admitted, answering, self)
+        try:
+            await one.run()
+        except reply.CallerLeft:
+            one.outcome = 'caller_left'
+        finally:
+            if one.outcome == 'broken_off':
+                answering.break_off()
+            self._record(one)
+
+    async def _refuse(
+        self,
+        request: terms.Request,
+        answering: reply.Reply,
+        failure: failures.Failure,
+    ) -> None:
+        request_id = request.first(self.names.attempt)
+        if request_id is None:
+            request_id = identifiers.new_identifier('request')
+        LOGGER.info(
+            'request refused',
+            extra={
+                'request_id': request_id,
+                'code': failure.code,
+                'status': failure.status,
+                'cause': failure.message,
+                'version': self.table.document.version,
+            },
+        )
+        self.measured.count('', failure.code, 0)
+        await answering.refuse(failure, request_id)
+
+    def _record(self, one: delivery.Delivery) -> None:
+        admitted = one.admitted
+        now = clock.monotonic_seconds()
+        seconds = now - admitted.request.received_at
+        self.measured.count(admitted.route.name, one.outcome, seconds)
+        LOGGER.info(
+            'request ended',
+            extra={
+                'request_id': admitted.terms.attempt,
+                'route': admitted.route.name,
+                'organisation': admitted.organisation,
+                'outcome': one.outcome,
+                'status': one.reply.status,
+                'upstream': one.upstream,
+                'attempts': one.attempts,
+                'ran': one.progress.ran.value,
+                'events': one.events.events,
+                'elapsed_ms': int(seconds * MILLISECONDS_PER_SECOND),
+            },
+        )
--- /dev/null
+++ b/cranberryrill/forwarding/placement.py
@@ -0,0 +1,233 @@
+"""Choose the upstream for a request.
+
+Model engines: a request costs what its upstream must read before the first
+token, its own prompt and those in front of it. Related requests go to one
+upstream, the same for every process without their talking, unless it has so
+much to read that reading the shared parts anew elsewhere is sooner.
+
+Plain services: the least loaded upstream, near ones before far ones.
+"""
+
+import dataclasses
+import random
+from collections import abc as collection_types
+
+import xxhash
+
+from cranberryrill.forwarding import terms, upstreams
+
+# How many prompt tokens are read in the time that a running request costs
+# another one on its way to the first token.
+TOKENS_PER_RUNNING = 60
+# A request that waits at an upstream has, on average, this much to read.
+TOKENS_PER_WAITING = 1500
+# What it costs the others to have a long prompt among long answers, besides
+# reading it, and a long answer among long prompts.
+TOKENS_PER_DISTURBANCE = 4000
+READING_DISTURBS = 2
+# Crossing data centres costs less than this many tokens.
+TOKENS_PER_CROSSING = 150
+# An upstream all of whose requests fail is as bad as one with this much to
+# read.
+TOKENS_PER_FAILURE = 60_000
+# For plain services, in shares of an upstream's places.
+CROSSING_SHARE = 0.3
+FAILURE_SHARES = 6.0
+JITTER_SHARE = 0.02
+JITTER_TOKENS = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """Hold what the choice depends on."""
+
+    parts: tuple[terms.Part, ...]
+    session: str
+    data_centre: str
+    is_engine: bool
+    # Whether there is more to write than to read.
+    writes_long: bool = False
+    # The upstreams that long answers share.
+    for_writing: frozenset[str] = frozenset()
+    # What other processes have sent to each upstream: tokens that they are
+    # still to read, and requests that are open.
+    others_reading: collection_types.Mapping[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    others_open: collection_types.Mapping[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """Hold the chosen upstream and what decided it."""
+
+    upstream: upstreams.Upstream
+    missing_tokens: int
+    cost: float
+    candidates: int
+    is_home: bool
+
+
+class Placer:
+    """Choose among the upstreams of one process."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def choose(
+        self,
+        wanted: Wanted,
+        candidates: collection_types.Sequence[upstreams.Upstream],
+        avoided: collection_types.Container[str],
+        now: float,
+    ) -> Choice | None:
+        """Return the best upstream, or none if there is none left."""
+        usable = _usable(candidates, avoided, now)
+        if not usable:
+            return None
+        if wanted.is_engine:
+            return self._choose_engine(wanted, usable, now)
+        return self._choose_plain(wanted, usable, now)
+
+    def _choose_engine(
+        self,
+        wanted: Wanted,
+        usable: collection_types.Sequence[upstreams.Upstream],
+        now: float,
+    ) -> Choice:
+        home = home_of(wanted.session, _preferred(wanted, usable))
+        best: Choice | None = None
+        for upstream in usable:
+            is_home = upstream is home
+            missing = missing_at(upstream, wanted.parts, is_home=is_home)
+            cost = self._engine_cost(upstream, missing, wanted, now)
+            if best is None or cost < best.cost:
+                best = Choice(upstream, missing, cost, len(usable), is_home)
+        assert best is not None
+        return best
+
+    def _engine_cost(
+        self,
+        upstream: upstreams.Upstream,
+        missing: int,
+        wanted: Wanted,
+        now: float,
+    ) -> float:
+        far = upstream.registration.data_centre != wanted.data_centre
+        running = upstream.open_requests + max(
+            wanted.others_open.get(upstream.id, 0),
+            upstream.others_running(now),
+        )
+        return (
+            missing
+            + _disturbance(upstream, missing, wanted)
+            + sum(upstream.reading.values())
+            + wanted.others_reading.get(upstream.id, 0)
+            + running * TOKENS_PER_RUNNING
+            + upstream.others_waiting(now) * TOKENS_PER_WAITING
+            + far * TOKENS_PER_CROSSING
+            + upstream.failures(now) * TOKENS_PER_FAILURE
+            + self.rng.random() * JITTER_TOKENS
+        )
+
+    def _choose_plain(
+        self,
+        wanted: Wanted,
+        usable: collection_types.Sequence[upstreams.Upstream],
+        now: float,
+    ) -> Choice:
+        costs = {
+            upstream.id: self._plain_cost(upstream, wanted, now)
+            for upstream in usable
+        }
+        best = min(usable, key=lambda upstream: costs[upstream.id])
+        return Choice(best, 0, costs[best.id], len(usable), is_home=False)
+
+    def _plain_cost(
+        self,
+        upstream: upstreams.Upstream,
+        wanted: Wanted,
+        now: float,
+    ) -> float:
+        far = upstream.registration.data_centre != wanted.data_centre
+        held = upstream.open_requests + max(
+            wanted.others_open.get(upstream.id, 0),
+            upstream.others_running(now) + upstream.others_waiting(now),
+        )
+        return (
+            held / max(upstream.registration.slots, 1)
+            + far * CROSSING_SHARE
+            + upstream.failures(now) * FAILURE_SHARES
+            + self.rng.random() * JITTER_SHARE
+        )
+
+
+def home_of(
+    session: str,
+    usable: collection_types.Sequence[upstreams.Upstream],
+) -> upstreams.Upstream | None:
+    """Return where related requests go, by rendezvous hashing."""
+    if not session:
+        return None
+    return max(
+        usable,
+        key=lambda upstream: xxhash.xxh64_intdigest(
+            f'{session}/{upstream.id}'.encode(),
+        ),
+    )
+
+
+def _preferred(
+    wanted: Wanted,
+    usable: collection_types.Sequence[upstreams.Upstream],
+) -> collection_types.Sequence[upstreams.Upstream]:
+    """Return the upstreams among which related requests have their home."""
+    if not wanted.for_writing:
+        return usable
+    preferred = [
+        upstream
+        for upstream in usable
+        if (upstream.id in wanted.for_writing) == wanted.writes_long
+    ]
+    return preferred or usable
+
+
+def missing_at(
+    upstream: upstreams.Upstream,
+    parts: collection_types.Sequence[terms.Part],
+    *,
+    is_home: bool,
+) -> int:
+    """Estimate how many prompt tokens an upstream would have to read."""
+    missing = upstream.cached.missing_tokens(parts)
+    if is_home and parts:
+        # Other processes send the same parts there.
+        return min(missing, parts[-1].tokens)
+    return missing
+
+
+def _disturbance(
+    upstream: upstreams.Upstream,
+    missing: int,
+    wanted: Wanted,
+) -> float:
+    if not wanted.for_writing:
+        return 0
+    is_for_writing = upstream.id in wanted.for_writing
+    if wanted.writes_long == is_for_writing:
+        return 0
+    if wanted.writes_long:
+        return TOKENS_PER_DISTURBANCE
+    return TOKENS_PER_DISTURBANCE + READING_DISTURBS * missing
+
+
+def _usable(
+    candidates: collection_types.Sequence[upstreams.Upstream],
+    avoided: collection_types.Container[str],
+    now: float,
+) -> list[upstreams.Upstream]:
+    left = [known for known in candidates if known.id not in avoided]
+    reachable = [known for known in left if now >= known.unreachable_until]
+    return reachable or left
--- /dev/null
+++ b/cranberryrill/forwarding/upstreams.py
@@ -0,0 +1,199 @@
+"""Hold what this process has seen of each upstream."""
+
+import collections
+import dataclasses
+import math
+from collections import abc as collection_types
+
+from cranberryrill.forwarding import terms
+from cranberryrill.registry import registry_pb2
+
+# A failure counts a tenth; ten in a row are nearly all that is remembered.
+FAILURE_WEIGHT = 0.1
+# Failures that were seen are forgotten by half in this time, in seconds.
+FAILURE_HALF_LIFE = 4.0
+# An upstream that took no connection is left alone this long, in seconds.
+UNREACHABLE_PAUSE = 1.0
+# One whose address another has is soon dropped from the registry, in seconds.
+REPLACED_PAUSE = 6.0
+# A load that was reported longer ago than this says little, in seconds.
+LOAD_LIFETIME = 2.0
+# Parts beyond this number of tokens have probably been evicted, where the
+# service does not say how much its upstreams cache.
+DEFAULT_CACHE_TOKENS = 200_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Hold what an upstream said of itself with an answer."""
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    at: float = float('-inf')
+    # How many requests of this process it held at that moment.
+    own: int = 0
+
+
+class CachedParts:
+    """Estimate which parts of prompts an upstream holds."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self.capacity = capacity_tokens
+        self.parts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.tokens = 0
+
+    def use(self, used: collection_types.Iterable[terms.Part]) -> None:
+        """Note that the upstream has read these parts."""
+        for part in used:
+            self.tokens -= self.parts.pop(part.id, 0)
+            self.parts[part.id] = part.tokens
+            self.tokens += part.tokens
+        while self.tokens > self.capacity and self.parts:
+            _, tokens = self.parts.popitem(last=False)
+            self.tokens -= tokens
+
+    def missing_tokens(
+        self, wanted: collection_types.Sequence[terms.Part]
+    ) -> int:
+        """Return how many tokens would have to be read anew.
+
+        A part helps only if all parts before it are held, too.
+        """
+        missing = sum(part.tokens for part in wanted)
+        for part in wanted:
+            if part.id not in self.parts:
+                break
+            missing -= part.tokens
+        return missing
+
+
+class Upstream:
+    """Follow one incarnation of an upstream."""
+
+    def __init__(
+        self,
+        registration: registry_pb2.Registration,
+        cache_tokens: int = 0,
+    ) -> None:
+        self.registration = registration
+        self.cached = CachedParts(cache_tokens or DEFAULT_CACHE_TOKENS)
+        self.load = Load()
+        # Prompt tokens to be read, for each request without a first event.
+        self.reading: dict[object, int] = {}
+        self.open_requests = 0
+        # Requests with more to write than to read.
+        self.long_answers = 0
+        self.failure_share = 0.0
+        self.failure_at = float('-inf')
+        self.unreachable_until = float('-inf')
+
+    @property
+    def id(self) -> str:
+        """Return the upstream's own name."""
+        return self.registration.id
+
+    def begin(
+        self,
+        token: object,
+        missing_tokens: int,
+        *,
+        is_long: bool = False,
+    ) -> None:
+        """Note a request that is sent."""
+        self.open_requests += 1
+        self.long_answers += is_long
+        self.reading[token] = missing_tokens
+
+    def has_answered(self, token: object) -> None:
+        """Note that a request's answer has begun."""
+        self.reading.pop(token, None)
+
+    def end(self, token: object, *, is_long: bool = False) -> None:
+        """Note that a request has ended."""
+        self.open_requests -= 1
+        self.long_answers -= is_long
+        self.reading.pop(token, None)
+
+    def note_outcome(self, now: float, *, failed: bool) -> None:
+        """Remember whether a request that was sent failed at the upstream."""
+        share = self.failures(now)
+        share += (float(failed) - share) * FAILURE_WEIGHT
+        self.failure_share = share
+        self.failure_at = now
+
+    def failures(self, now: float) -> float:
+        """Return the share of requests that failed lately."""
+        age = now - self.failure_at
+        return self.failure_share * math.exp2(-age / FAILURE_HALF_LIFE)
+
+    def note_unreachable(self, now: float) -> None:
+        """Remember that no connection came about."""
+        self.unreachable_until = now + UNREACHABLE_PAUSE
+
+    def note_replaced(self, now: float) -> None:
+        """Remember that another incarnation answers at its address."""
+        self.unreachable_until = now + REPLACED_PAUSE
+
+    def note_load(self, text: str, now: float) -> None:
+        """Take `running,waiting,slots` as the upstream says it."""
+        counts = text.split(',')
+        if len(counts) != 3 or not all(
+            count.strip().isascii() and count.strip().isdigit()
+            for count in counts
+        ):
+            return
+        running, waiting, slots = (int(count) for count in counts)
+        self.load = Load(running, waiting, slots, now, self.open_requests)
+
+    def others_running(self, now: float) -> float:
+        """Estimate how many requests of other processes run there."""
+        held = self.load.running + self.load.waiting - self.load.own
+        return max(held - self.load.waiting, 0) * self._trust(now)
+
+    def others_waiting(self, now: float) -> float:
+        """Estimate how many requests wait there."""
+        return self.load.waiting * self._trust(now)
+
+    def _trust(self, now: float) -> float:
+        """Return how much the reported load still says, from 0 to 1."""
+        age = now - self.load.at
+        return max(1 - age / LOAD_LIFETIME, 0)
+
+
+class Pool:
+    """Keep the upstreams in step with the registry."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Upstream] = {}
+
+    def update(
+        self,
+        registrations: collection_types.Mapping[str, registry_pb2.Registration],
+        cache_tokens: collection_types.Mapping[str, int],
+    ) -> None:
+        """Take the registrations that are in force now."""
+        for name, registration in registrations.items():
+            held = self.known.get(name)
+            started = registration.started_unix_ms
+            if held is None or held.registration.started_unix_ms != started:
+                self.known[name] = Upstream(
+                    registration,
+                    cache_tokens.get(registration.service, 0),
+                )
+            else:
+                held.registration = registration
+        for name in list(self.known):
+            if name not in registrations:
+                del self.known[name]
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that take new work."""
+        return [
+            known
+            for known in self.known.values()
+            if known.registration.service == service
+            and not known.registration.leaving
+        ]
--- /dev/null
+++ b/cranberryrill/forwarding/vocabulary.py
@@ -0,0 +1,33 @@
+"""Name the headers by which callers, this system and upstreams speak.
+
+The defaults are this system's own; an adapter may name others.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Vocabulary:
+    """Hold the header names, in lower case, and other fixed words."""
+
+    # What callers send and upstreams get unchanged.
+    attempt: str = 'x-attempt-id'
+    model: str = 'x-model'
+    tokens: str = 'x-token-count'
+    prompt_parts: str = 'x-prompt-parts'
+    length_hint: str = 'x-length-hint'
+    # What this system sets anew for upstreams.
+    deadline: str = 'x-deadline-ms'
+    organisation: str = 'x-organisation'
+    expected_upstream: str = 'x-expected-upstream'
+    priority: str = 'x-priority'
+    # What only this system may say to upstreams, so that it is dropped when
+    # callers say it.
+    reserved: frozenset[str] = frozenset()
+    # What upstreams say of their answers.
+    signature: str = 'x-upstream-signature'
+    not_executed: str = 'x-not-executed'
+    load: str = 'x-upstream-load'
+    # The word before a key in `Authorization`.
+    key_scheme: str = 'Bearer'
+    readiness_path: str = '/readyz'
--- a/cranberryrill/membership/exchanging.py
+++ b/cranberryrill/membership/exchanging.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import logging
+
 from cranberryrill import clock, transport
 from cranberryrill.configuration import state
 from cranberryrill.membership import (
@@ -10,7 +12,10 @@
     membership_pb2,
     timing,
 )
-from cranberryrill.replication import peers
+from cranberryrill.registry import table
+from cranberryrill.replication import peers, roster
+
+LOGGER = logging.getLogger(__name__)
 
 
 class Exchange:
@@ -22,8 +27,12 @@
         known: directory.Directory,
         others: peers.Peers,
         held: state.ServingState,
+        registry: table.Table,
+        members: roster.Roster,
     ) -> None:
         self.name = name
+        self.registry = registry
+        self.members = members
         self.state = held
         self.directory = known
         self.peers = others
@@ -31,7 +40,10 @@
     async def run_expiry(self) -> None:
         """Drop processes that fell silent."""
         while True:
-            self.directory.expire(clock.monotonic_seconds())
+            now = clock.monotonic_seconds()
+            self.directory.expire(now)
+            for name in self.registry.expire(now):
+                LOGGER.info('upstream silent', extra={'upstream': name})
             await asyncio.sleep(timing.DIRECTORY_PERIOD)
 
     def confirmed_revision(self, now: float) -> int:
@@ -43,21 +55,31 @@
     async def run_peer(self, peer: str) -> None:
         """Keep `peer` up to date."""
         cursor = directory.Cursor()
+        stamp = 0
         while True:
+            now = clock.monotonic_seconds()
+            newest = self.registry.stamp
             step = cursor.step(self.directory.announcements(self.name))
             share = membership_pb2.Share(
                 member=self.name,
                 full=step.full,
                 present=step.present,
                 gone=step.gone,
-                confirmed_revision=self.confirmed_revision(
-                    clock.monotonic_seconds(),
-                ),
+                confirmed_revision=self.confirmed_revision(now),
+                sightings=self.registry.sightings_since(stamp, now),
+                hosts=self.members.hosts(),
             )
             stub = membership_grpc.MembershipStub(self.peers.channel(peer))
             try:
-                await stub.Exchange(share, timeout=timing.EXCHANGE_TIMEOUT)
+                answer = await stub.Exchange(
+                    share,
+                    timeout=timing.EXCHANGE_TIMEOUT,
+                )
             except transport.CALL_ERRORS:
                 self.peers.reset(peer)
                 cursor = directory.Cursor()
+                stamp = 0
+            else:
+                stamp = newest
+                self.members.meet_all(answer.hosts)
             await asyncio.sleep(timing.DIRECTORY_PERIOD)
--- a/cranberryrill/membership/holding.py
+++ b/cranberryrill/membership/holding.py
@@ -15,6 +15,7 @@
     membership_pb2,
     timing,
 )
+from cranberryrill.registry import registry_pb2
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
@@ -46,6 +47,7 @@
         self.rng = rng
         self.serving = serving.Serving()
         self.processes: dict[str, membership_pb2.Announcement] = {}
+        self.upstreams: dict[str, registry_pb2.Registration] = {}
         self.fresh_as_of = float('-inf')
         # When this watch was opened, or last brought a fresher proof.
         self.proved_at = float('-inf')
@@ -68,6 +70,14 @@
             and not announcement.leaving
         ]
 
+    def learn_control(self, hosts: abc.Iterable[str]) -> None:
+        """Add members that were not known."""
+        port = self.control[0].port
+        held = {address.host for address in self.control}
+        for host in hosts:
+            if host not in held:
+                self.control.append(transport.Address(host, port))
+
     def patience(self, now: float) -> float:
         """Return for how many seconds the member may yet prove freshness."""
         return max(self.proved_at + timing.WATCH_SILENCE - now, 0)
@@ -147,6 +157,10 @@
             return
         if kind == 'state':
             self._update(push.state)
+        elif kind == 'registry':
+            self._update_upstreams(push.registry)
+        elif kind == 'control':
+            self.learn_control(push.control.hosts)
         else:
             self._update_directory(push.directory)
         async with self.updated:
@@ -179,6 +193,22 @@
         self.announce_now.set()
         LOGGER.info('revision in force', extra={'revision': update.revision})
 
+    def _update_upstreams(self, update: registry_pb2.RegistryUpdate) -> None:
+        if update.full:
+            self.upstreams.clear()
+        for registration in update.present:
+            self.upstreams[registration.id] = registration
+        for name in update.gone:
+            self.upstreams.pop(name, None)
+        LOGGER.info(
+            'upstreams known',
+            extra={
+                'count': len(self.upstreams),
+                'changed': len(update.present),
+                'gone': list(update.gone),
+            },
+        )
+
     def _update_directory(
         self,
         update: membership_pb2.DirectoryUpdate,
--- a/cranberryrill/membership/watching.py
+++ b/cranberryrill/membership/watching.py
@@ -13,7 +13,8 @@
     membership_pb2,
     timing,
 )
-from cranberryrill.replication import member
+from cranberryrill.registry import cursor, table
+from cranberryrill.replication import member, roster
 
 MILLISECONDS_PER_SECOND = 1000
 WatchStream = server.Stream[membership_pb2.Renewal, membership_pb2.Push]
@@ -34,6 +35,8 @@
         self.heard_at = clock.monotonic_seconds()
         self.cursor = directory.Cursor()
         self.directory_version = -1
+        self.registry_cursor = cursor.Cursor()
+        self.hosts: list[str] = []
 
     async def read(self) -> None:
         """Take renewals until the watcher leaves."""
@@ -66,6 +69,7 @@
             fresh = self.service.member.freshness
             await self._push_state()
             await self.push_directory(clock.monotonic_seconds())
+            await self._push_registry(clock.monotonic_seconds())
             await self._push_grants(fresh)
 
     async def push_directory(self, now: float) -> None:
@@ -81,6 +85,25 @@
         update = self.cursor.step(known.announcements())
         await self.stream.send_message(membership_pb2.Push(directory=update))
 
+    async def _push_registry(self, now: float) -> None:
+        if not self.wants_directory:
+            return
+        known = self.service.directory
+        if not known.is_gathered(self.service.member.peers, now):
+            return
+        update = self.registry_cursor.step(self.service.registry)
+        if update is not None:
+            await self.stream.send_message(
+                membership_pb2.Push(registry=update),
+            )
+        hosts = self.service.members.hosts()
+        if hosts != self.hosts:
+            self.hosts = hosts
+            control = membership_pb2.ControlMembers(hosts=hosts)
+            await self.stream.send_message(
+                membership_pb2.Push(control=control),
+            )
+
     def _is_silent(self, now: float) -> bool:
         return now >= self.heard_at + timing.WATCHER_SILENCE
 
@@ -117,8 +140,12 @@
         held: state.ServingState,
         known: directory.Directory,
         fencing: abc.Callable[[], int],
+        registry: table.Table,
+        members: roster.Roster,
     ) -> None:
         self.member = local
+        self.registry = registry
+        self.members = members
         self.state = held
         self.directory = known
         # Returns the newest holder's fencing number in the applied state.
@@ -158,7 +185,23 @@
         for name in share.gone:
             self.directory.forget(name, share.member)
         self.directory.confirmed[share.member] = share.confirmed_revision
-        await stream.send_message(membership_pb2.ShareAnswer())
+        self._merge(share, now)
+        await stream.send_message(
+            membership_pb2.ShareAnswer(hosts=self.members.hosts()),
+        )
+
+    def wake(self) -> None:
+        """Let every watch look for what its watcher lacks."""
+        for watch in self.watches:
+            watch.wake.set()
+
+    def _merge(self, share: membership_pb2.Share, now: float) -> None:
+        version = self.registry.version
+        for sighting in share.sightings:
+            self.registry.merge(sighting, now)
+        if self.registry.version != version:
+            self.wake()
+        self.members.meet_all(share.hosts)
 
     async def run_wakes(self) -> None:
         """Wake every watch when entries were committed."""
@@ -169,5 +212,4 @@
                 await local.committed.wait()
             if self.state.serving.revision != seen:
                 seen = self.state.serving.revision
-                for watch in self.watches:
-                    watch.wake.set()
+                self.wake()
--- /dev/null
+++ b/cranberryrill/programs/core.py
@@ -0,0 +1,194 @@
+"""Run a control member that finds the others from seeds."""
+
+import asyncio
+import dataclasses
+import logging
+from collections import abc
+
+from tornado import httpserver, web
+
+from cranberryrill import clock, tasks, transport
+from cranberryrill.authority import holding, sending
+from cranberryrill.forwarding import counting
+from cranberryrill.programs import replicating, running
+from cranberryrill.registry import registry_pb2
+from cranberryrill.replication import compacting, voters
+from cranberryrill.settings import fleet
+from cranberryrill.traffic import publishing
+from cranberryrill.usage import clock_reporting
+
+LOGGER = logging.getLogger(__name__)
+LEAST_VOTERS = 3
+# Log and snapshot together take less than a fifth of a disk of 64 MB.
+SNAPSHOT_ENTRIES = 2048
+TAIL_ENTRIES = 256
+MAX_LOG_BYTES = 6_000_000
+MAX_TAIL_BYTES = 2_000_000
+BOUNDS = compacting.Bounds(
+    entries=SNAPSHOT_ENTRIES,
+    log_bytes=MAX_LOG_BYTES,
+    tail_entries=TAIL_ENTRIES,
+    tail_bytes=MAX_TAIL_BYTES,
+)
+STOP_TIMEOUT = 2.0
+REPORTING = 'usage_reporting'
+MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Dialect:
+    """Hold how one platform is spoken to."""
+
+    make_api: abc.Callable[['Core'], web.Application]
+    sender_headers: sending.SenderHeaders
+    reports: clock_reporting.ReportFormat
+
+
+class Core:
+    """Wire the slices of a control member together."""
+
+    def __init__(
+        self,
+        settings: fleet.FleetSettings,
+        dialect: Dialect,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.group = tasks.TaskGroup()
+        self.duties = tasks.TaskGroup()
+        if settings.data_folder is None:
+            raise DataFolderMissing(settings.name)
+        dialer = transport.Dialer(None)
+        self.replicated = replicating.Replicated(
+            _place_of(settings),
+            dialer,
+            BOUNDS,
+        )
+        self.publisher = publishing.Publisher(
+            self.replicated.member,
+            self.replicated.proposer,
+            self.replicated.state,
+        )
+        self.authority = holding.Authority(
+            self.replicated.member,
+            self.replicated.proposer,
+        )
+        self.keeper = voters.VoterKeeper(
+            self.replicated.member,
+            self.replicated.admission,
+            max(2 * settings.tolerated_losses + 1, LEAST_VOTERS),
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        settings = self.settings
+        LOGGER.info('starting', extra={'role': 'control'})
+        listening = await transport.listen(
+            self.replicated.services(),
+            transport.Address(settings.host, settings.control_port),
+            None,
+        )
+        self.replicated.start(self.group)
+        self.replicated.roster.meet_all(settings.seed_hosts)
+        self.group.start(self.keeper.run(), 'voters')
+        self.group.start(self.authority.run(), 'authority')
+        self._start_duties()
+        api = httpserver.HTTPServer(self.dialect.make_api(self))
+        if settings.control:
+            transport.listen_http(api, fleet.address_of(settings.control))
+        await running.until_stopped(self.group)
+        api.stop()
+        self.authority.stopping = True
+        unfinished = list(self.duties.tasks)
+        if unfinished:
+            await asyncio.wait(unfinished, timeout=STOP_TIMEOUT)
+        await self.duties.cancel()
+        await self.group.cancel()
+        listening.close()
+        await listening.wait_closed()
+        self.replicated.close()
+        LOGGER.info('stopped')
+        self.group.check()
+
+    def reload(self, settings: fleet.FleetSettings) -> None:
+        """Take up changed settings: seeds that were not known."""
+        LOGGER.info('settings reloaded', extra={'seeds': settings.seeds})
+        self.replicated.roster.meet_all(settings.seed_hosts)
+
+    def register(
+        self,
+        registration: registry_pb2.Registration,
+        now: float,
+    ) -> None:
+        """Take an upstream's heartbeat, and tell of it if it says more."""
+        registry = self.replicated.registry
+        version = registry.version
+        taken = registry.take(registration, now)
+        if registry.version == version:
+            return
+        LOGGER.info(
+            'upstream registered',
+            extra={
+                'upstream': registration.id,
+                'service': registration.service,
+                'leaving': registration.leaving,
+                'sequence': registration.sequence,
+                'taken': taken,
+            },
+        )
+        self.replicated.watching.wake()
+
+    def deregister(self, upstream: str, now: float) -> None:
+        """Take an upstream's word that it ends."""
+        if self.replicated.registry.remove(upstream, now):
+            LOGGER.info('upstream ended', extra={'upstream': upstream})
+            self.replicated.watching.wake()
+
+    def _start_duties(self) -> None:
+        outside = self.settings.outside
+        if outside is None or REPORTING not in outside.duties:
+            return
+        sender = sending.Sender(
+            f'http://{outside.address}',
+            self.settings.name,
+            self.authority,
+            self.dialect.sender_headers,
+        )
+        reporter = clock_reporting.ClockReporter(
+            self.authority,
+            self.replicated.clock_usage,
+            sender,
+            self.dialect.reports,
+            counting.TrueTime(
+                clock.monotonic_seconds(),
+                clock.unix_milliseconds(),
+            ),
+            self.settings.bounds.usage_window_seconds,
+        )
+        self.duties.start(reporter.run(), 'usage reports')
+
+
+class DataFolderMissing(OSError):
+    """A control member has no folder for its state."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f'{name}: a control member needs a data folder')
+
+
+def _place_of(settings: fleet.FleetSettings) -> replicating.Place:
+    assert settings.data_folder is not None
+    others = {
+        host: transport.Address(host, settings.control_port)
+        for host in settings.seed_hosts
+        if host != settings.host
+    }
+    return replicating.Place(
+        # Members know one another by where they listen.
+        name=settings.host,
+        data_folder=settings.data_folder,
+        others=others,
+        port=settings.control_port,
+        fixed=False,
+        founding_members=settings.seed_hosts if settings.founds else (),
+        heartbeat_seconds=settings.heartbeat_ms / MILLISECONDS_PER_SECOND,
+    )
--- /dev/null
+++ b/cranberryrill/programs/replicating.py
@@ -0,0 +1,176 @@
+"""Wire the replicated state of a control process."""
+
+import dataclasses
+import pathlib
+import random
+
+from cranberryrill import clock, tasks, transport
+from cranberryrill.authority import intents
+from cranberryrill.claims import state as claims_state
+from cranberryrill.configuration import state
+from cranberryrill.membership import directory, exchanging, watching
+from cranberryrill.registry import table
+from cranberryrill.replication import (
+    admitting,
+    compacting,
+    electing,
+    founding,
+    installing,
+    leading,
+    member,
+    peers,
+    proposing,
+    reading,
+    roster,
+    service,
+    store,
+)
+from cranberryrill.state import machine, submitting
+from cranberryrill.usage import clock_windows, windows
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Say who a control process is and whom it knows at its start."""
+
+    name: str
+    data_folder: pathlib.Path
+    # Every other member that the settings name.
+    others: dict[str, transport.Address]
+    # Where members listen that the settings don't name.
+    port: int
+    # Whether the settings name every member there will ever be.
+    fixed: bool
+    # Who may found the group; nobody where it was founded before.
+    founding_members: tuple[str, ...] | None = None
+    heartbeat_seconds: float = 1.2
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerTasks:
+    """Start what serves one other member."""
+
+    group: tasks.TaskGroup
+    lead: leading.Leading
+    sender: installing.Sender
+    exchange: exchanging.Exchange
+
+    def start(self, peer: str) -> None:
+        """Serve `peer` for as long as the process runs."""
+        self.group.start(self.lead.run_peer(peer), f'append to {peer}')
+        self.group.start(self.sender.run_peer(peer), f'snapshots to {peer}')
+        self.group.start(
+            self.exchange.run_peer(peer),
+            f'exchange with {peer}',
+        )
+
+
+class Replicated:
+    """Hold the replicated state and what keeps it."""
+
+    def __init__(
+        self,
+        place: Place,
+        dialer: transport.Dialer,
+        bounds: compacting.Bounds,
+    ) -> None:
+        self.bounds = bounds
+        self.state = state.ServingState()
+        self.usage = windows.UsageState()
+        self.clock_usage = clock_windows.ClockWindowsState()
+        self.orders = intents.AuthorityState()
+        self.member = self._open_member(place)
+        self.peers = peers.Peers(dialer, place.others)
+        self.roster = roster.Roster(
+            self.member,
+            self.peers,
+            place.port,
+            fixed=place.fixed,
+        )
+        self.directory = directory.Directory(clock.monotonic_seconds())
+        self.registry = table.Table(place.heartbeat_seconds)
+        self.proposer = proposing.Proposer(self.member, self.peers)
+        self.founder = founding.Founder(
+            self.member,
+            self.peers,
+            place.founding_members,
+        )
+        self.admission = admitting.Admission(
+            self.member,
+            self.peers,
+            self.proposer,
+        )
+        self.watching = watching.MembershipService(
+            self.member,
+            self.state,
+            self.directory,
+            lambda: self.orders.highest_fencing,
+            self.registry,
+            self.roster,
+        )
+        self.exchange = exchanging.Exchange(
+            self.member.name,
+            self.directory,
+            self.peers,
+            self.state,
+            self.registry,
+            self.roster,
+        )
+
+    def services(self) -> list[transport.Servable]:
+        """Return what other processes may call."""
+        return [
+            service.ReplicationService(
+                self.member,
+                self.proposer,
+                self.founder,
+                self.admission,
+            ),
+            self.watching,
+            submitting.SubmissionService(self.proposer),
+        ]
+
+    def start(self, group: tasks.TaskGroup) -> None:
+        """Start to replicate, as tasks of `group`."""
+        elector = electing.Elector(
+            self.member,
+            self.peers,
+            random.SystemRandom(),
+        )
+        lead = leading.Leading(self.member, self.peers)
+        sender = installing.Sender(self.member, self.peers)
+        compactor = compacting.Compactor(self.member, self.bounds)
+        group.start(self.member.store.disk.run_watch(), 'data folder')
+        group.start(self.founder.run(), 'founder')
+        group.start(elector.run(), 'elector')
+        group.start(lead.run_disk(), 'disk')
+        group.start(compactor.run(), 'compactor')
+        group.start(reading.Reader(self.member, self.peers).run(), 'reader')
+        group.start(self.watching.run_wakes(), 'wakes')
+        group.start(self.exchange.run_expiry(), 'expiry')
+
+        served = PeerTasks(group, lead, sender, self.exchange)
+        for peer in self.member.peers:
+            served.start(peer)
+        self.roster.on_met.append(served.start)
+
+    def close(self) -> None:
+        """Close the connections and files."""
+        self.peers.close()
+        self.member.store.close()
+
+    def _open_member(self, place: Place) -> member.Member:
+        slices: list[machine.Slice] = [
+            self.state,
+            claims_state.ClaimsState(),
+            self.usage,
+            self.clock_usage,
+            self.orders,
+        ]
+        return member.Member(
+            place.name,
+            tuple(place.others),
+            store.Store(place.data_folder),
+            machine.Machine(slices),
+            clock.monotonic_seconds(),
+        )
--- /dev/null
+++ b/cranberryrill/programs/router.py
@@ -0,0 +1,218 @@
+"""Run an entry that forwards requests to upstreams itself."""
+
+import asyncio
+import logging
+import random
+
+from tornado import httpserver, web
+
+from cranberryrill import clock, identifiers, tasks, transport
+from cranberryrill.forwarding import (
+    admission,
+    budget,
+    counting,
+    forwarder,
+    instruments,
+    server,
+    sharing,
+    vocabulary,
+)
+from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.programs import running
+from cranberryrill.settings import fleet
+from cranberryrill.state import submitting
+from cranberryrill.traffic import document
+
+LOGGER = logging.getLogger(__name__)
+# The balancer asks every second and takes out who fails it twice; a request
+# may be on its way for a moment longer.
+UNREADY_SECONDS = 2.6
+# Open answers end this long before the process is killed.
+SPARE_SECONDS = 0.5
+
+
+class Router:
+    """Wire the slices of a forwarding entry together."""
+
+    def __init__(
+        self,
+        settings: fleet.FleetSettings,
+        names: vocabulary.Vocabulary,
+    ) -> None:
+        self.settings = settings
+        self.names = names
+        self.incarnation = identifiers.new_identifier('entry')
+        self.group = tasks.TaskGroup()
+        self.unready = False
+        rng = random.Random(random.SystemRandom().random())
+        dialer = transport.Dialer(None)
+        control = [
+            transport.Address(host, settings.control_port)
+            for host in settings.seed_hosts
+        ]
+        self.holder = holding.Holder(dialer, control, self.announcement, rng)
+        self.usage = counting.UsageCounter(
+            submitting.Submitter(dialer, control, rng),
+            settings.name,
+            counting.TrueTime(
+                clock.monotonic_seconds(),
+                clock.unix_milliseconds(),
+            ),
+            settings.bounds.usage_window_seconds,
+        )
+        self.measured = instruments.Instruments()
+        self.forwarder = forwarder.Forwarder(
+            forwarder.Setup(
+                names,
+                settings.data_centre,
+                budget.Bounds(
+                    settings.bounds.retry_ratio,
+                    settings.bounds.retry_slack,
+                    settings.bounds.retry_window_seconds,
+                ),
+            ),
+            self.holder,
+            self.usage,
+            self.measured,
+            rng,
+        )
+        self.callers = server.CallerServer(self.forwarder)
+        self.follower = sharing.Follower(
+            settings.name,
+            dialer,
+            self.forwarder.others,
+        )
+
+    def announcement(self) -> membership_pb2.Announcement:
+        """Return what control learns of this process."""
+        return membership_pb2.Announcement(
+            process=self.settings.name,
+            incarnation=self.incarnation,
+            role=membership_pb2.Role.ENTRY,
+            host=self.settings.host,
+            port=self.settings.internal_ports[0] + 1,
+            data_centre=self.settings.data_centre,
+            revision=self.holder.serving.revision,
+        )
+
+    def is_ready(self, now: float) -> bool:
+        """Say whether this process should get new connections."""
+        return not self.unready and self.holder.may_serve(now)
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        settings = self.settings
+        LOGGER.info('starting', extra={'role': 'entry'})
+        sharing_loads = await transport.listen(
+            [sharing.LoadService(self.forwarder.pool)],
+            transport.Address(settings.host, settings.internal_ports[0] + 1),
+            None,
+        )
+        self.group.start(self.holder.run(), 'holder')
+        self.group.start(self._run_followers(), 'followers')
+        self.group.start(self.forwarder.run_updates(), 'updates')
+        self.group.start(self._hand_over_usage(), 'usage')
+        listening = server.make(self.callers, document.CallerLimits())
+        if settings.callers:
+            transport.listen_http(listening, fleet.address_of(settings.callers))
+        readiness = httpserver.HTTPServer(self._readiness())
+        if settings.readiness:
+            transport.listen_http(
+                readiness,
+                fleet.address_of(settings.readiness),
+            )
+        if settings.metrics_port:
+            page = httpserver.HTTPServer(self._metrics())
+            transport.listen_http(
+                page,
+                transport.Address(settings.host, settings.metrics_port),
+            )
+        stop = running.StopSignals(self.group)
+        await stop.wait_first()
+        stopping_at = clock.monotonic_seconds()
+        await stop.finish(self._drain(listening, stopping_at))
+        await listening.close_all_connections()
+        sharing_loads.close()
+        await self.follower.group.cancel()
+        await self.group.cancel()
+        LOGGER.info('stopped')
+        self.group.check()
+
+    def reload(self, settings: fleet.FleetSettings) -> None:
+        """Take up changed settings: seeds that were not known."""
+        LOGGER.info('settings reloaded', extra={'seeds': settings.seeds})
+        self.holder.learn_control(settings.seed_hosts)
+
+    async def _drain(
+        self,
+        listening: httpserver.HTTPServer,
+        stopping_at: float,
+    ) -> None:
+        """Leave the balancer first, then answer what is open."""
+        self.unready = True
+        grace = self.settings.bounds.grace_seconds - SPARE_SECONDS
+        stop = admission.Stop(
+            stopping_at + UNREADY_SECONDS,
+            stopping_at + grace,
+        )
+        self.forwarder.stop = stop
+        await asyncio.sleep(UNREADY_SECONDS)
+        left = stop.ends_at - clock.monotonic_seconds()
+        try:
+            async with asyncio.timeout(max(left, 0)):
+                await self.callers.idle.wait()
+        except TimeoutError:
+            LOGGER.warning(
+                'stopped before all requests were answered',
+                extra={'open_requests': self.callers.busy},
+            )
+        listening.stop()
+        self.callers.close_idle()
+        await self.usage.hand_over()
+
+    async def _run_followers(self) -> None:
+        async with self.holder.updated:
+            while True:
+                self.follower.update(self.holder.processes)
+                await self.holder.updated.wait()
+
+    async def _hand_over_usage(self) -> None:
+        while True:
+            await asyncio.sleep(counting.HANDOVER_PERIOD)
+            await self.usage.hand_over()
+
+    def _readiness(self) -> web.Application:
+        shared = {'router': self}
+        return web.Application(
+            [(self.names.readiness_path, ReadinessHandler, shared)],
+        )
+
+    def _metrics(self) -> web.Application:
+        shared = {'router': self}
+        return web.Application([('/metrics', MetricsHandler, shared)])
+
+
+class ReadinessHandler(web.RequestHandler):
+    """Tell the balancer whether to send new connections here."""
+
+    def initialize(self, router: Router) -> None:
+        """Take what the handler reads."""
+        self.router = router
+
+    def get(self) -> None:
+        """Answer with a status alone."""
+        ready = self.router.is_ready(clock.monotonic_seconds())
+        self.set_status(server.ready_status(ready=ready))
+
+
+class MetricsHandler(web.RequestHandler):
+    """Show the metrics of this process."""
+
+    def initialize(self, router: Router) -> None:
+        """Take what the handler reads."""
+        self.router = router
+
+    def get(self) -> None:
+        """Answer in the text format of the metrics library."""
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.write(self.router.measured.page())
--- /dev/null
+++ b/cranberryrill/registry/table.py
@@ -0,0 +1,210 @@
+"""Keep the newest registration of each upstream, as all members agree.
+
+Members merge what each of them hears. Which of two registrations is newer
+follows from themselves alone, so the order of their arrival is no matter.
+"""
+
+import dataclasses
+
+from cranberryrill.registry import registry_pb2, timing
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Known:
+    """Hold what is known of one upstream."""
+
+    registration: registry_pb2.Registration
+    heard_at: float
+    removed: bool = False
+    # Grows with each change anywhere in the table.
+    stamp: int = 0
+
+
+class Table:
+    """Decide which upstreams there are."""
+
+    def __init__(
+        self,
+        heartbeat_seconds: float = timing.DEFAULT_HEARTBEAT,
+    ) -> None:
+        self.lifetime = heartbeat_seconds * timing.MISSED_HEARTBEATS
+        self.known: dict[str, Known] = {}
+        self.stamp = 0
+        # Grows only when the set that watchers use has changed.
+        self.version = 0
+
+    def take(
+        self,
+        registration: registry_pb2.Registration,
+        now: float,
+        *,
+        removed: bool = False,
+    ) -> bool:
+        """Take a registration unless a newer one is known."""
+        before = self.known.get(registration.id)
+        if before is not None and not _is_newer(before, registration, removed):
+            return False
+        if not removed and self._address_is_taken(registration):
+            return False
+        self._put(registration, now, removed=removed)
+        if not removed:
+            self._end_former_holders(registration, now)
+        return True
+
+    def remove(self, upstream: str, now: float) -> bool:
+        """Take an upstream's word that it ends."""
+        known = self.known.get(upstream)
+        if known is None or known.removed:
+            return False
+        self._put(known.registration, now, removed=True)
+        return True
+
+    def expire(self, now: float) -> list[str]:
+        """Drop upstreams that fell silent, and forget those long gone.
+
+        One that was only cut off comes back with its next heartbeat.
+        """
+        silent = [
+            name
+            for name, known in self.known.items()
+            if not known.removed and now >= known.heard_at + self.lifetime
+        ]
+        if silent:
+            self.version += 1
+        self.known = {
+            name: known
+            for name, known in self.known.items()
+            if now < known.heard_at + self._kept_for(known)
+        }
+        return silent
+
+    def present(self) -> dict[str, registry_pb2.Registration]:
+        """Return the upstreams that there are."""
+        return {
+            name: known.registration
+            for name, known in self.known.items()
+            if not known.removed
+        }
+
+    def sightings_since(
+        self,
+        stamp: int,
+        now: float,
+    ) -> list[registry_pb2.Sighting]:
+        """Return what changed after `stamp`, for another member."""
+        return [
+            registry_pb2.Sighting(
+                registration=known.registration,
+                removed=known.removed,
+                age_ms=max(
+                    int((now - known.heard_at) * MILLISECONDS_PER_SECOND),
+                    0,
+                ),
+            )
+            for known in self.known.values()
+            if known.stamp > stamp
+        ]
+
+    def merge(self, sighting: registry_pb2.Sighting, now: float) -> bool:
+        """Take what another member knows."""
+        heard_at = now - sighting.age_ms / MILLISECONDS_PER_SECOND
+        if not sighting.removed and now >= heard_at + self.lifetime:
+            return False
+        return self.take(
+            sighting.registration,
+            heard_at,
+            removed=sighting.removed,
+        )
+
+    def _kept_for(self, known: Known) -> float:
+        return timing.REMEMBERED if known.removed else self.lifetime
+
+    def _put(
+        self,
+        registration: registry_pb2.Registration,
+        now: float,
+        *,
+        removed: bool,
+    ) -> None:
+        before = self.known.get(registration.id)
+        self.stamp += 1
+        self.known[registration.id] = Known(
+            registration,
+            now,
+            removed,
+            self.stamp,
+        )
+        if before is None or _differs(before, registration, removed):
+            self.version += 1
+
+    def _address_is_taken(self, wanted: registry_pb2.Registration) -> bool:
+        """Say whether a later incarnation runs at the same address."""
+        return any(
+            not known.removed
+            and known.registration.id != wanted.id
+            and _address(known.registration) == _address(wanted)
+            and known.registration.started_unix_ms > wanted.started_unix_ms
+            for known in self.known.values()
+        )
+
+    def _end_former_holders(
+        self,
+        newest: registry_pb2.Registration,
+        now: float,
+    ) -> None:
+        former = [
+            known.registration
+            for known in self.known.values()
+            if not known.removed
+            and known.registration.id != newest.id
+            and _address(known.registration) == _address(newest)
+        ]
+        for registration in former:
+            self._put(registration, now, removed=True)
+
+
+def differs(
+    one: registry_pb2.Registration,
+    other: registry_pb2.Registration,
+) -> bool:
+    """Say whether two registrations differ for those who send requests."""
+    return _content(one) != _content(other)
+
+
+def _content(registration: registry_pb2.Registration) -> bytes:
+    content = registry_pb2.Registration()
+    content.CopyFrom(registration)
+    # These change with each heartbeat and choose nothing.
+    content.ClearField('sequence')
+    content.ClearField('warm_up_ms')
+    return content.SerializeToString(deterministic=True)
+
+
+def _differs(
+    before: Known,
+    registration: registry_pb2.Registration,
+    removed: bool,
+) -> bool:
+    if before.removed != removed:
+        return True
+    return differs(before.registration, registration)
+
+
+def _address(registration: registry_pb2.Registration) -> tuple[str, int]:
+    return registration.host, registration.port
+
+
+def _is_newer(
+    known: Known,
+    registration: registry_pb2.Registration,
+    removed: bool,
+) -> bool:
+    before = known.registration
+    if registration.started_unix_ms != before.started_unix_ms:
+        return registration.started_unix_ms > before.started_unix_ms
+    if known.removed:
+        # An incarnation that has ended does not come back.
+        return False
+    return removed or registration.sequence > before.sequence
--- a/cranberryrill/replication/electing.py
+++ b/cranberryrill/replication/electing.py
@@ -73,7 +73,7 @@
         standing = local.standing is member.Standing.candidate
         if local.term != term or not standing:
             return
-        local.lead()
+        local.lead(clock.monotonic_seconds())
         noop = replication_pb2.Entry(
             index=local.store.log.last_index + 1,
             term=term,
--- a/cranberryrill/replication/founding.py
+++ b/cranberryrill/replication/founding.py
@@ -1,4 +1,4 @@
-"""Found the group once, when every member named in the settings is new."""
+"""Found the group once, when every founding member is new."""
 
 import asyncio
 import logging
@@ -18,17 +18,28 @@
 class Founder:
     """Found a group, or offer it to those who have not heard of it.
 
-    Only the first name in the settings founds, and only when every other
-    member answers that it has never been in a group: so no second group can
-    form beside one that any member remembers.
+    Only the first name of the founding members founds, and only when every
+    other one answers that it has never been in a group: so no second group
+    can form beside one that any of them remembers.
     """
 
-    def __init__(self, local: member.Member, others: peers.Peers) -> None:
+    def __init__(
+        self,
+        local: member.Member,
+        others: peers.Peers,
+        founding_members: tuple[str, ...] | None = None,
+    ) -> None:
         self.member = local
         self.peers = others
+        if founding_members is None:
+            founding_members = (local.name, *local.peers)
+        # Empty where no group may be founded: it once was, elsewhere.
+        self.founding_members = founding_members
 
     async def run(self) -> None:
         """Work until the group's log has its first entry."""
+        if self.member.name not in self.founding_members:
+            return
         while self.member.store.log.last_index == 0:
             if self.member.group.members:
                 await self._ask_all(self.member.group)
@@ -44,7 +55,7 @@
             for name, answer in answers.items()
             if answer.free
         }
-        if len(free) < len(self.member.peers):
+        if len(free) < len(self.founding_members) - 1:
             return
         voters = {**free, self.member.name: self.member.identity}
         group = groups.make(identifiers.new_identifier('group'), voters)
@@ -61,18 +72,21 @@
                 LOGGER.info('joined a new group', extra={'group': group.id})
 
     def is_free(self) -> bool:
-        """Say whether this member has never heard of a group."""
+        """Say whether this member may found, and never heard of a group."""
+        if self.member.name not in self.founding_members:
+            return False
         return not self.member.group.members and not self.member.term
 
     def _is_first(self) -> bool:
-        local = self.member
-        return all(local.name < peer for peer in local.peers)
+        return self.member.name == min(self.founding_members)
 
     async def _ask_all(
         self,
         group: replication_pb2.Group,
     ) -> dict[str, replication_pb2.FoundAnswer]:
-        names = self.member.peers
+        names = [
+            name for name in self.founding_members if name != self.member.name
+        ]
         answers = await asyncio.gather(
             *(self._ask(name, group) for name in names),
         )
--- a/cranberryrill/replication/member.py
+++ b/cranberryrill/replication/member.py
@@ -126,6 +126,8 @@
         self.standing = Standing.follower
         self.leader = ''
         self.heard_at = float('-inf')
+        # When this member last began to lead.
+        self.led_since = float('-inf')
         snapshot = disk.snapshots.read()
         if snapshot.index:
             state.load(snapshot.state)
@@ -142,6 +144,18 @@
         self.snapshot_wakes = {peer: asyncio.Event() for peer in peers}
         self.stood_down = asyncio.Event()
 
+    def meet(self, peer: str) -> bool:
+        """Take up a member that was not known; say whether it was new."""
+        if peer == self.name or peer in self.peers:
+            return False
+        self.peers = (*self.peers, peer)
+        self.peer_wakes[peer] = asyncio.Event()
+        self.snapshot_wakes[peer] = asyncio.Event()
+        if self.standing is Standing.leader:
+            next_index = self.store.log.last_index + 1
+            self.progress[peer] = PeerProgress(next_index=next_index)
+        return True
+
     @property
     def term(self) -> int:
         """Return the newest term this member has seen."""
@@ -180,8 +194,9 @@
         theirs = (request.last_term, request.last_index)
         return theirs >= (log.last_term, log.last_index)
 
-    def lead(self) -> None:
+    def lead(self, now: float) -> None:
         """Start to lead in the present term."""
+        self.led_since = now
         self.standing = Standing.leader
         self.leader = self.name
         next_index = self.store.log.last_index + 1
--- a/cranberryrill/state/submitting.py
+++ b/cranberryrill/state/submitting.py
@@ -13,7 +13,9 @@
 from cranberryrill.replication import member, proposing
 from cranberryrill.state import commands_pb2, submission_grpc, submission_pb2
 
-ALLOWED_KINDS = frozenset(('place_claim', 'move_claim', 'add_usage'))
+ALLOWED_KINDS = frozenset(
+    ('place_claim', 'move_claim', 'add_usage', 'add_window_usage'),
+)
 # A member that is silent for longer is left for another one.
 CALL_TIMEOUT = 1.5
 RETRY_PAUSE = 0.1
--- a/cranberryrill/transport.py
+++ b/cranberryrill/transport.py
@@ -169,12 +169,19 @@
 
 
 class Dialer:
-    """Open channels to other processes of the system."""
+    """Open channels to other processes of the system.
 
-    def __init__(self, tls: TlsSettings) -> None:
+    Without TLS every process that can reach this one's network is trusted;
+    the settings say so explicitly.
+    """
+
+    def __init__(self, tls: TlsSettings | None) -> None:
         self.tls = tls
-        self.stamp = stamp_of(tls)
-        self.contexts = _client_contexts(tls)
+        self.stamp: tuple[int, ...] = ()
+        self.contexts: dict[bool, ssl.SSLContext] = {}
+        if tls is not None:
+            self.stamp = stamp_of(tls)
+            self.contexts = _client_contexts(tls)
 
     def dial(
         self,
@@ -185,19 +192,21 @@
 
         Only a process of `role` is spoken to, when one is given.
         """
+        if self.tls is None:
+            return client.Channel(address.host, address.port)
         name = None if role is None else roles.name_of(role)
         return client.Channel(
             address.host,
             address.port,
-            ssl=self._context(checks_name=name is not None),
+            ssl=self._context(self.tls, checks_name=name is not None),
             config=config.Configuration(ssl_target_name_override=name),
         )
 
-    def _context(self, checks_name: bool) -> ssl.SSLContext:
+    def _context(self, tls: TlsSettings, checks_name: bool) -> ssl.SSLContext:
         try:
-            stamp = stamp_of(self.tls)
+            stamp = stamp_of(tls)
             if stamp != self.stamp:
-                self.contexts = _client_contexts(self.tls)
+                self.contexts = _client_contexts(tls)
                 self.stamp = stamp
         except OSError as error:
             LOGGER.warning(
@@ -254,12 +263,14 @@
 async def listen(
     handlers: abc.Collection[Servable],
     address: Address,
-    tls: TlsSettings,
+    tls: TlsSettings | None,
 ) -> server.Server:
     """Serve `handlers` at `address`, each method to the roles it is for."""
     listening = server.Server(handlers)
-    events.listen(listening, events.RecvRequest, _refuse_strangers)
-    context = server_context(tls)
+    context = None
+    if tls is not None:
+        events.listen(listening, events.RecvRequest, _refuse_strangers)
+        context = server_context(tls)
     try:
         await listening.start(
             address.host,
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -65,7 +65,7 @@
 async def lead(local: member.Member, matches: dict[str, str]) -> None:
     """Lead with two entries that the peers with these identities stored."""
     await local.store.save_ballot(1, local.identity)
-    local.lead()
+    local.lead(0)
     local.store.append([conftest.entry(1, 1), conftest.entry(2, 1)])
     local.synced_index = await local.store.sync()
     for peer, identity in matches.items():
--- a/tests/replication/test_leading.py
+++ b/tests/replication/test_leading.py
@@ -52,7 +52,7 @@
 ) -> None:
     monkeypatch.setattr(timing, 'RETRY_PAUSE', 0)
     await local.store.save_ballot(1, local.identity)
-    local.lead()
+    local.lead(0)
     for index in range(1, ENTRIES + 1):
         local.store.append([conftest.entry(index, 1)])
     local.progress['b'].next_index = 1
--- /dev/null
+++ b/tests/traffic/test_matching.py
@@ -0,0 +1,80 @@
+"""Routes by host and longest prefix, organisations by key."""
+
+import dataclasses
+
+from cranberryrill.traffic import checking, document, matching
+
+ROUTE = document.Route(
+    name='r',
+    host='a.example',
+    path_prefix='/x/',
+    shares=(document.Share('s', 1),),
+    repeatability=document.Repeatability.idempotent,
+    streams=False,
+    resumable=False,
+    timeout_ms=1000,
+    target_latency_ms=100,
+    event_gap_ms=0,
+    max_attempts=2,
+    rank=1,
+    anonymous=False,
+    sticky=False,
+)
+INNER = dataclasses.replace(ROUTE, name='inner', path_prefix='/x/y/')
+DOCUMENT = document.Document(
+    version=3,
+    routes=(ROUTE, INNER),
+    services=(document.Service('s', '/health', 10, document.Engine(8, 99)),),
+    organisations=(
+        document.Organisation('o', (matching.digest_of('key'),), rank=2),
+    ),
+    source='{}',
+)
+
+
+def test_longest_prefix_is_chosen() -> None:
+    table = matching.RouteTable(DOCUMENT)
+    assert table.route_for('a.example', '/x/z') is ROUTE
+    assert table.route_for('A.example:80', '/x/y/z/w') is INNER
+    assert table.route_for('a.example', '/x') is None
+    assert table.route_for('b.example', '/x/z') is None
+
+
+def test_key_names_its_organisation() -> None:
+    table = matching.RouteTable(DOCUMENT)
+    known = table.organisation_for('key')
+    assert known is not None and known.name == 'o'
+    assert table.organisation_for('other') is None
+
+
+def test_document_survives_encoding() -> None:
+    assert document.decode(document.encode(DOCUMENT)) == DOCUMENT
+
+
+def test_weights_share_the_requests() -> None:
+    shares = (document.Share('s', 9), document.Share('t', 1))
+    chosen = [matching.choose_share(shares, at / 100) for at in range(100)]
+    assert chosen.count('t') == 10
+
+
+def test_invalid_documents_are_named() -> None:
+    assert not checking.faults_of(DOCUMENT)
+    broken = (
+        dataclasses.replace(ROUTE, timeout_ms=0),
+        dataclasses.replace(ROUTE, shares=(document.Share('s', 0),)),
+        dataclasses.replace(ROUTE, shares=(document.Share('none', 1),)),
+        dataclasses.replace(INNER, path_prefix='/x/'),
+    )
+    for route in broken:
+        wrong = dataclasses.replace(DOCUMENT, routes=(ROUTE, route))
+        assert checking.faults_of(wrong), route
+    shared = dataclasses.replace(
+        DOCUMENT.organisations[0],
+        name='other',
+    )
+    wrong = dataclasses.replace(
+        DOCUMENT,
+        organisations=(*DOCUMENT.organisations, shared),
+    )
+    assert checking.faults_of(wrong)
+    assert checking.faults_of(dataclasses.replace(DOCUMENT, version=0))
