Share loads and read parts among entries; fetch cached parts

Ruled out: polling reports or cache events (priced as probes). Change: entries stream loads and read parts to one another; a request placed elsewhere fetches what another replica holds; no replica is assumed to hold what it was not seen to read.

--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -76,6 +76,13 @@
     def count_start(self, admitted: admission.Admitted, now: float) -> None:
         """Count that a request has begun to run."""
 
+    def note_read(
+        self,
+        upstream: upstreams.Upstream,
+        admitted: admission.Admitted,
+    ) -> None:
+        """Note that an upstream has read a request's prompt."""
+
     def retry_after(self, admitted: admission.Admitted, now: float) -> float:
         """Return when a refused caller should come back, in seconds."""
 
@@ -125,9 +132,11 @@
         upstream = choice.upstream
         self.attempts += 1
         self.upstream = upstream.id
-        sent = exchange.Exchange(self._call(upstream, now), self.shared.driver)
+        sent = exchange.Exchange(self._call(choice, now), self.shared.driver)
         is_long = separation.writes_long(self.admitted.terms)
         upstream.begin(sent, choice.missing_tokens, is_long=is_long)
+        for part in self.admitted.terms.parts:
+            upstream.cached.use(part.id, part.tokens, is_ready=False)
         try:
             sent.start()
             return await self._follow(sent, upstream)
@@ -165,7 +174,7 @@
         if verdict is verdicts.Verdict.foreign:
             return Tried(failures.Ran.unknown, 'not the answer to it')
         self._count_start(now)
-        upstream.cached.use(self.admitted.terms.parts)
+        self.shared.note_read(upstream, self.admitted)
         if verdict is verdicts.Verdict.success and self.admitted.route.streams:
             return await self._relay_events(sent)
         return await self._relay_whole(sent, verdict)
@@ -341,11 +350,8 @@
             },
         )
 
-    def _call(
-        self,
-        upstream: upstreams.Upstream,
-        now: float,
-    ) -> exchange.Call:
+    def _call(self, choice: placement.Choice, now: float) -> exchange.Call:
+        upstream = choice.upstream
         admitted = self.admitted
         left = (admitted.answer_by - now) * MILLISECONDS_PER_SECOND
         priority = None
@@ -356,6 +362,7 @@
             deadline_ms=max(int(left), 1),
             organisation=admitted.organisation,
             priority=priority,
+            fetch_from=_address_of(choice.fetch_from),
             last_event_id=self.events.last_id if self.reply.started else '',
         )
         return exchange.Call(
@@ -392,6 +399,12 @@
         )
 
 
+def _address_of(upstream: upstreams.Upstream | None) -> str:
+    if upstream is None:
+        return ''
+    return f'{upstream.registration.host}:{upstream.registration.port}'
+
+
 def _broken_before_head(
     sent: exchange.Exchange,
     upstream: upstreams.Upstream,
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -64,7 +64,7 @@
         self.driver = multi.Driver()
         self.table = matching.RouteTable(document.EMPTY)
         self.pool = upstreams.Pool()
-        self.others = sharing.OtherLoads()
+        self.others = sharing.OtherLoads(self.pool)
         self.placer = placement.Placer(rng)
         self.budgets: dict[str, budget.Budget] = {}
         self.long_answers: dict[str, separation.OpenAnswers] = {}
@@ -148,6 +148,7 @@
                     'missing_tokens': choice.missing_tokens,
                     'candidates': choice.candidates,
                     'home': choice.is_home,
+                    'fetch_from': choice.fetch_from and choice.fetch_from.id,
                     'tokens': admitted.terms.prompt_tokens,
                     'output_tokens': admitted.terms.output_tokens,
                     'version': admitted.version,
@@ -197,6 +198,11 @@
             for_writing=separation.for_writing(candidates, count),
             others_reading=self.others.reading,
             others_open=self.others.open,
+            others_long=self.others.long,
+            may_fetch=placement.may_fetch(
+                engine.token_bytes,
+                engine.link_mbps,
+            ),
         )
 
     def _long_answers(self, name: str) -> separation.OpenAnswers:
@@ -221,6 +227,14 @@
         """Count that a request has begun to run."""
         self.usage.count(admitted.organisation, now)
 
+    def note_read(
+        self,
+        upstream: upstreams.Upstream,
+        admitted: admission.Admitted,
+    ) -> None:
+        """Note that an upstream has read a request's prompt."""
+        self.pool.note_read(upstream, admitted.terms.parts)
+
     def retry_after(self, admitted: admission.Admitted, now: float) -> float:
         """Return when a refused caller should come back, in seconds."""
         return self.rng.uniform(RETRY_LEAST, RETRY_MOST)
--- a/cranberryrill/forwarding/headers.py
+++ b/cranberryrill/forwarding/headers.py
@@ -33,6 +33,8 @@
     organisation: str = ''
     # From 0, served first, to 9; none where the upstream has no order.
     priority: int | None = None
+    # Another engine that holds more of the prompt, as host:port.
+    fetch_from: str = ''
     # The last event that the caller has, where a stream goes on.
     last_event_id: str = ''
 
@@ -45,6 +47,7 @@
     """Return the headers of a request as an upstream gets them."""
     dropped = PER_CONNECTION | names.reserved | _named_by(request)
     dropped |= {
+        names.fetch_from,
         'authorization',
         names.deadline,
         names.organisation,
@@ -64,6 +67,8 @@
         kept.append((names.organisation, dispatch.organisation))
     if dispatch.priority is not None:
         kept.append((names.priority, str(dispatch.priority)))
+    if dispatch.fetch_from and names.fetch_from:
+        kept.append((names.fetch_from, dispatch.fetch_from))
     if dispatch.last_event_id:
         kept.append(('Last-Event-Id', dispatch.last_event_id))
     return kept
--- a/cranberryrill/forwarding/placement.py
+++ b/cranberryrill/forwarding/placement.py
@@ -21,10 +21,22 @@
 TOKENS_PER_RUNNING = 60
 # A request that waits at an upstream has, on average, this much to read.
 TOKENS_PER_WAITING = 1500
+# Where nothing else decides, related requests begin at one upstream.
+TOKENS_FOR_HOME = 600
 # What it costs the others to have a long prompt among long answers, besides
 # reading it, and a long answer among long prompts.
 TOKENS_PER_DISTURBANCE = 4000
+TOKENS_PER_DISTURBED = 800
 READING_DISTURBS = 2
+# Cached parts are fetched from another upstream if there are so many tokens
+# more of them. Fetching is charged at this share of reading them: the links
+# are fast, yet not free.
+LEAST_FETCHED = 512
+FETCH_SHARE = 0.25
+# Fetching must take at most this share of the time that reading takes.
+FASTER_BY = 0.5
+READ_TOKENS_PER_MS = 100
+BITS_PER_BYTE = 8
 # Crossing data centres costs less than this many tokens.
 TOKENS_PER_CROSSING = 150
 # An upstream all of whose requests fail is as bad as one with this much to
@@ -34,6 +46,8 @@
 CROSSING_SHARE = 0.3
 FAILURE_SHARES = 6.0
 JITTER_SHARE = 0.02
+# More than any prompt holds.
+LARGEST = 1_000_000_000
 JITTER_TOKENS = 40
 
 
@@ -54,6 +68,11 @@
     others_reading: collection_types.Mapping[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    others_long: collection_types.Mapping[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    # Whether upstreams may fetch cached parts from one another.
+    may_fetch: bool = False
     others_open: collection_types.Mapping[str, int] = dataclasses.field(
         default_factory=dict,
     )
@@ -68,6 +87,8 @@
     cost: float
     candidates: int
     is_home: bool
+    # Where the upstream should fetch cached parts, if anywhere.
+    fetch_from: upstreams.Upstream | None = None
 
 
 class Placer:
@@ -98,20 +119,44 @@
         now: float,
     ) -> Choice:
         home = home_of(wanted.session, _preferred(wanted, usable))
-        best: Choice | None = None
-        for upstream in usable:
-            is_home = upstream is home
-            missing = missing_at(upstream, wanted.parts, is_home=is_home)
-            cost = self._engine_cost(upstream, missing, wanted, now)
-            if best is None or cost < best.cost:
-                best = Choice(upstream, missing, cost, len(usable), is_home)
-        assert best is not None
-        return best
+        missing = {
+            upstream.id: upstream.cached.missing_tokens(wanted.parts)
+            for upstream in usable
+        }
+        held = {
+            upstream.id: upstream.cached.missing_tokens(
+                wanted.parts,
+                ready=True,
+            )
+            for upstream in usable
+        }
+        holder = min(usable, key=lambda upstream: held[upstream.id])
+        fetched = held[holder.id] if wanted.may_fetch else LARGEST
+        costs = {
+            upstream.id: self._engine_cost(
+                upstream,
+                with_fetching(missing[upstream.id], fetched),
+                wanted,
+                now,
+            )
+            - (upstream is home) * TOKENS_FOR_HOME
+            for upstream in usable
+        }
+        best = min(usable, key=lambda upstream: costs[upstream.id])
+        fetches = missing[best.id] - fetched >= LEAST_FETCHED
+        return Choice(
+            best,
+            int(with_fetching(missing[best.id], fetched)),
+            costs[best.id],
+            len(usable),
+            best is home,
+            holder if fetches else None,
+        )
 
     def _engine_cost(
         self,
         upstream: upstreams.Upstream,
-        missing: int,
+        missing: float,
         wanted: Wanted,
         now: float,
     ) -> float:
@@ -194,23 +239,26 @@
     return preferred or usable
 
 
-def missing_at(
-    upstream: upstreams.Upstream,
-    parts: collection_types.Sequence[terms.Part],
-    *,
-    is_home: bool,
-) -> int:
-    """Estimate how many prompt tokens an upstream would have to read."""
-    missing = upstream.cached.missing_tokens(parts)
-    if is_home and parts:
-        # Other processes send the same parts there.
-        return min(missing, parts[-1].tokens)
-    return missing
+def may_fetch(token_bytes: int, link_mbps: float) -> bool:
+    """Say whether fetching a cached token is faster than reading it."""
+    if token_bytes <= 0 or link_mbps <= 0:
+        return False
+    bits_per_ms = link_mbps * 1000
+    fetch_ms = token_bytes * BITS_PER_BYTE / bits_per_ms
+    return fetch_ms <= FASTER_BY / READ_TOKENS_PER_MS
+
+
+def with_fetching(missing: int, missing_at_holder: int) -> float:
+    """Return what is left to read, with fetching charged at its share."""
+    fetched = missing - missing_at_holder
+    if fetched < LEAST_FETCHED:
+        return missing
+    return missing_at_holder + fetched * FETCH_SHARE
 
 
 def _disturbance(
     upstream: upstreams.Upstream,
-    missing: int,
+    missing: float,
     wanted: Wanted,
 ) -> float:
     if not wanted.for_writing:
@@ -220,7 +268,12 @@
         return 0
     if wanted.writes_long:
         return TOKENS_PER_DISTURBANCE
-    return TOKENS_PER_DISTURBANCE + READING_DISTURBS * missing
+    disturbed = upstream.long_answers + wanted.others_long.get(upstream.id, 0)
+    return (
+        TOKENS_PER_DISTURBANCE
+        + TOKENS_PER_DISTURBED * disturbed
+        + READING_DISTURBS * missing
+    )
 
 
 def _usable(
--- a/cranberryrill/forwarding/separation.py
+++ b/cranberryrill/forwarding/separation.py
@@ -21,7 +21,7 @@
 # of them slows the others.
 FULL_SHARE = 0.4
 # How long answers that were open are remembered, by half, in seconds.
-HALF_LIFE = 3.0
+HALF_LIFE = 10.0
 
 
 def writes_long(asked: terms.Terms) -> bool:
--- a/cranberryrill/forwarding/sharing.py
+++ b/cranberryrill/forwarding/sharing.py
@@ -55,6 +55,21 @@
     return changed
 
 
+def parts_read(
+    pool: upstreams.Pool,
+    since: int,
+) -> list[loads_pb2.PartRead]:
+    """Return the parts that upstreams have read lately."""
+    return [
+        loads_pb2.PartRead(
+            upstream=read.upstream,
+            part=read.part,
+            tokens=read.tokens,
+        )
+        for read in pool.reads_since(since)
+    ]
+
+
 class LoadService(loads_grpc.LoadsBase):
     """Push this process's loads to the entries that watch."""
 
@@ -65,24 +80,33 @@
         """Push changes until the watcher leaves."""
         await stream.recv_message()
         sent: Loads = {}
+        read = self.pool.reads
         full = True
         sent_at = clock.monotonic_seconds()
         while True:
             now = clock.monotonic_seconds()
             loads = loads_of(self.pool.known.values())
             changed = difference(sent, loads)
-            if changed or full or now >= sent_at + HEARTBEAT:
+            parts = parts_read(self.pool, read)
+            if changed or parts or full or now >= sent_at + HEARTBEAT:
+                read = self.pool.reads
+                sent, sent_at = loads, now
                 await stream.send_message(
-                    loads_pb2.LoadUpdate(full=full, loads=changed),
+                    loads_pb2.LoadUpdate(
+                        full=full,
+                        loads=changed,
+                        parts=parts,
+                    ),
                 )
-                sent, sent_at, full = loads, now, False
+                full = False
             await asyncio.sleep(PUSH_PERIOD)
 
 
 class OtherLoads:
     """Hold what other entries have at each upstream."""
 
-    def __init__(self) -> None:
+    def __init__(self, pool: upstreams.Pool) -> None:
+        self.pool = pool
         self.by_entry: dict[str, Loads] = {}
         self.reading: collections.Counter[str] = collections.Counter()
         self.open: collections.Counter[str] = collections.Counter()
@@ -98,6 +122,12 @@
             if load.open_requests:
                 held[load.upstream] = load
                 self._add(load, 1)
+        for read in update.parts:
+            self.pool.note_read_elsewhere(
+                read.upstream,
+                read.part,
+                read.tokens,
+            )
 
     def forget(self, entry: str) -> None:
         """Drop what an entry that is gone has said."""
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -21,6 +21,8 @@
 # Parts beyond this number of tokens have probably been evicted, where the
 # service does not say how much its upstreams cache.
 DEFAULT_CACHE_TOKENS = 200_000
+# Other processes hear of so many of the newest parts that were read.
+REMEMBERED_READS = 256
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,36 +37,52 @@
     own: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class CachedPart:
+    """Hold what is known of one part at one upstream."""
+
+    tokens: int
+    # Whether it has been read; before, it is about to be.
+    is_ready: bool
+
+
 class CachedParts:
     """Estimate which parts of prompts an upstream holds."""
 
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity = capacity_tokens
-        self.parts: collections.OrderedDict[str, int] = (
+        self.parts: collections.OrderedDict[str, CachedPart] = (
             collections.OrderedDict()
         )
         self.tokens = 0
 
-    def use(self, used: collection_types.Iterable[terms.Part]) -> None:
-        """Note that the upstream has read these parts."""
-        for part in used:
-            self.tokens -= self.parts.pop(part.id, 0)
-            self.parts[part.id] = part.tokens
-            self.tokens += part.tokens
+    def use(self, part: str, tokens: int, *, is_ready: bool) -> None:
+        """Note that the upstream reads a part, or has read it."""
+        before = self.parts.pop(part, None)
+        if before is not None:
+            self.tokens -= before.tokens
+            is_ready = is_ready or before.is_ready
+        self.parts[part] = CachedPart(tokens, is_ready)
+        self.tokens += tokens
         while self.tokens > self.capacity and self.parts:
-            _, tokens = self.parts.popitem(last=False)
-            self.tokens -= tokens
+            _, evicted = self.parts.popitem(last=False)
+            self.tokens -= evicted.tokens
 
     def missing_tokens(
-        self, wanted: collection_types.Sequence[terms.Part]
+        self,
+        wanted: collection_types.Sequence[terms.Part],
+        *,
+        ready: bool = False,
     ) -> int:
         """Return how many tokens would have to be read anew.
 
-        A part helps only if all parts before it are held, too.
+        A part helps only if all parts before it are held, too. With `ready`,
+        only what has been read already counts.
         """
         missing = sum(part.tokens for part in wanted)
         for part in wanted:
-            if part.id not in self.parts:
+            held = self.parts.get(part.id)
+            if held is None or (ready and not held.is_ready):
                 break
             missing -= part.tokens
         return missing
@@ -163,11 +181,55 @@
         return max(1 - age / LOAD_LIFETIME, 0)
 
 
+@dataclasses.dataclass(frozen=True)
+class PartRead:
+    """Say that an upstream has read a part of a prompt."""
+
+    number: int
+    upstream: str
+    part: str
+    tokens: int
+
+
 class Pool:
     """Keep the upstreams in step with the registry."""
 
     def __init__(self) -> None:
         self.known: dict[str, Upstream] = {}
+        # What upstreams have read for this process, the newest last, each
+        # with its number.
+        self.read: collections.deque[PartRead] = collections.deque(
+            maxlen=REMEMBERED_READS,
+        )
+        self.reads = 0
+
+    def note_read(
+        self,
+        upstream: Upstream,
+        parts: collection_types.Sequence[terms.Part],
+    ) -> None:
+        """Note that an upstream has read the parts of a prompt."""
+        for part in parts:
+            upstream.cached.use(part.id, part.tokens, is_ready=True)
+            self.reads += 1
+            self.read.append(
+                PartRead(self.reads, upstream.id, part.id, part.tokens),
+            )
+
+    def reads_since(self, number: int) -> list[PartRead]:
+        """Return what was read after the one of this number."""
+        return [read for read in self.read if read.number > number]
+
+    def note_read_elsewhere(
+        self,
+        upstream: str,
+        part: str,
+        tokens: int,
+    ) -> None:
+        """Note what an upstream has read for another process."""
+        known = self.known.get(upstream)
+        if known is not None:
+            known.cached.use(part, tokens, is_ready=True)
 
     def update(
         self,
--- a/cranberryrill/forwarding/vocabulary.py
+++ b/cranberryrill/forwarding/vocabulary.py
@@ -21,6 +21,9 @@
     organisation: str = 'x-organisation'
     expected_upstream: str = 'x-expected-upstream'
     priority: str = 'x-priority'
+    # Where an engine may get cached parts of the prompt; empty where engines
+    # can't.
+    fetch_from: str = 'x-fetch-cache-from'
     # What only this system may say to upstreams, so that it is dropped when
     # callers say it.
     reserved: frozenset[str] = frozenset()
--- a/cranberryrill/traffic/document.py
+++ b/cranberryrill/traffic/document.py
@@ -68,6 +68,10 @@
 
     slots: int
     cache_tokens: int
+    # What a cached token takes on the links between engines; 0 where engines
+    # fetch nothing from one another.
+    token_bytes: int = 0
+    link_mbps: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
