Let less pressing requests wait at the entries for their turn

Ruled out: ordering by rank alone (every organisation has a rank, which goes before that of the route, so all are equal); gating by the least busy replica (a failing one is always idle); gating long answers (they delay nobody). Change: a request whose target is much longer than another's of its service waits while there is more left to read than 0.4 of the shorter target where it would be sent; it is refused at once when its turn would come too late.

--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -59,6 +59,12 @@
     driver: multi.Driver
     data_centre: str
 
+    async def wait_turn(
+        self,
+        admitted: admission.Admitted,
+    ) -> failures.Failure | None:
+        """Wait until a request may be sent, or return why it is not."""
+
     def place(
         self,
         admitted: admission.Admitted,
@@ -76,6 +82,15 @@
     def count_start(self, admitted: admission.Admitted, now: float) -> None:
         """Count that a request has begun to run."""
 
+    def note_answer(
+        self,
+        admitted: admission.Admitted,
+        choice: placement.Choice,
+        tokens: int,
+        seconds: float,
+    ) -> None:
+        """Note how long an upstream took to begin its answer."""
+
     def note_read(
         self,
         upstream: upstreams.Upstream,
@@ -109,6 +124,10 @@
 
     async def run(self) -> None:
         """Try upstreams until there is a final answer."""
+        refused = await self.shared.wait_turn(self.admitted)
+        if refused is not None:
+            await self._refuse(refused)
+            return
         while True:
             now = clock.monotonic_seconds()
             choice = self.shared.place(self.admitted, self.tried, now)
@@ -139,7 +158,7 @@
             upstream.cached.use(part.id, part.tokens, is_ready=False)
         try:
             sent.start()
-            return await self._follow(sent, upstream)
+            return await self._follow(sent, choice, now)
         finally:
             sent.stop()
             upstream.end(sent, is_long=is_long)
@@ -147,8 +166,10 @@
     async def _follow(
         self,
         sent: exchange.Exchange,
-        upstream: upstreams.Upstream,
+        choice: placement.Choice,
+        sent_at: float,
     ) -> Tried | None:
+        upstream = choice.upstream
         while not sent.has_head and sent.ending is None:
             if not await self._wait(sent):
                 upstream.note_outcome(self._now(), failed=True)
@@ -156,6 +177,12 @@
         if not sent.has_head:
             return _broken_before_head(sent, upstream, self._now())
         now = self._now()
+        self.shared.note_answer(
+            self.admitted,
+            choice,
+            upstream.reading.get(sent, 0),
+            now - sent_at,
+        )
         upstream.has_answered(sent)
         upstream.note_load(sent.first(self.shared.names.load) or '', now)
         verdict = verdicts.judge(
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import random
 
@@ -13,6 +14,7 @@
     budget,
     counting,
     delivery,
+    gate,
     instruments,
     multi,
     placement,
@@ -20,6 +22,7 @@
     separation,
     sharing,
     terms,
+    turns,
     upstreams,
     vocabulary,
 )
@@ -67,6 +70,10 @@
         self.others = sharing.OtherLoads(self.pool)
         self.placer = placement.Placer(rng)
         self.budgets: dict[str, budget.Budget] = {}
+        self.gates: dict[str, gate.Gate] = {}
+        self.rates: dict[str, turns.ReadingRate] = {}
+        # For each route, whether its newest request had much to write.
+        self.writes_long: dict[str, bool] = {}
         self.long_answers: dict[str, separation.OpenAnswers] = {}
         self.open: set[asyncio.Task[None]] = set()
         self.stop: admission.Stop | None = None
@@ -122,6 +129,141 @@
         else:
             await self._refuse(request, answering, admission.stopping())
 
+    async def wait_turn(
+        self,
+        admitted: admission.Admitted,
+    ) -> failures.Failure | None:
+        """Wait until a request may be sent, or return why it is not."""
+        service = admitted.service
+        if service.engine is None:
+            return None
+        is_long = separation.writes_long(admitted.terms)
+        self.writes_long[admitted.route.name] = is_long
+        limit_ms = turns.start_limit_ms(
+            admitted.route,
+            self._rivals_of(admitted, is_long=is_long),
+        )
+        if is_long or limit_ms is None:
+            # Those with little to read delay nobody.
+            return None
+        waiter = turns.make_waiter(
+            admitted.route,
+            admitted.rank,
+            admitted.terms.prompt_tokens,
+            limit_ms,
+            (admitted.request.received_at, admitted.answer_by),
+            functools.partial(self._backlog_ms, admitted),
+            admitted.organisation,
+        )
+        held = self._gate_of(service.name)
+        wait_ms = self._expected_wait_ms(service.name, held)
+        if turns.is_hopeless(waiter, wait_ms):
+            return self._overloaded(admitted, wait_ms)
+        passed = await held.wait(waiter)
+        if passed.passes:
+            return None
+        return self._overloaded(admitted, wait_ms)
+
+    def _overloaded(
+        self,
+        admitted: admission.Admitted,
+        wait_ms: float,
+    ) -> failures.Failure:
+        now = clock.monotonic_seconds()
+        LOGGER.info(
+            'no turn in time',
+            extra={
+                'request_id': admitted.terms.attempt,
+                'expected_wait_ms': int(wait_ms),
+                'waited_ms': int(
+                    (now - admitted.request.received_at)
+                    * MILLISECONDS_PER_SECOND,
+                ),
+            },
+        )
+        return failures.NoPlace(
+            'too much waits for the upstreams',
+            retry_after_seconds=self.rng.uniform(RETRY_MOST, 1)
+            * max(wait_ms / MILLISECONDS_PER_SECOND, RETRY_MOST),
+        )
+
+    def _rivals_of(
+        self,
+        admitted: admission.Admitted,
+        *,
+        is_long: bool,
+    ) -> list[document.Route]:
+        """Return the routes whose requests go to the same upstreams."""
+        service = admitted.service.name
+        separated = self._writing_count(service) > 0
+        return [
+            route
+            for route in self.table.document.routes
+            if any(share.service == service for share in route.shares)
+            and not (
+                separated
+                and self.writes_long.get(route.name, is_long) != is_long
+            )
+        ]
+
+    def _writing_count(self, service: str) -> int:
+        known = self.table.services.get(service)
+        if known is None or known.engine is None:
+            return 0
+        now = clock.monotonic_seconds()
+        candidates = self.pool.of_service(service)
+        open_answers = self._long_answers(service)
+        open_answers.note(
+            sum(
+                upstream.long_answers + self.others.long[upstream.id]
+                for upstream in candidates
+            ),
+            now,
+        )
+        return separation.count_for_writing(
+            open_answers.recent(now),
+            known.engine.slots,
+            len(candidates),
+        )
+
+    def _gate_of(self, service: str) -> gate.Gate:
+        if service not in self.gates:
+            self.gates[service] = gate.Gate()
+        return self.gates[service]
+
+    def _backlog_ms(self, admitted: admission.Admitted) -> float:
+        """Return how much is left to read where a request would go now."""
+        choice = self._choose(
+            admitted,
+            frozenset(),
+            clock.monotonic_seconds(),
+        )
+        tokens = choice.backlog_tokens if choice else 0
+        return self._rate_of(admitted.service.name).ms_for(tokens)
+
+    def _expected_wait_ms(self, service: str, held: gate.Gate) -> float:
+        """Estimate how long a request that comes now would wait."""
+        waiting = held.queue.tokens() * max(self.processes(), 1)
+        engines = max(len(self.pool.of_service(service)), 1)
+        return self._rate_of(service).ms_for(waiting / engines)
+
+    def _rate_of(self, service: str) -> turns.ReadingRate:
+        if service not in self.rates:
+            self.rates[service] = turns.ReadingRate()
+        return self.rates[service]
+
+    def note_answer(
+        self,
+        admitted: admission.Admitted,
+        choice: placement.Choice,
+        tokens: int,
+        seconds: float,
+    ) -> None:
+        """Note how long an upstream took to begin its answer."""
+        if admitted.service.engine is not None:
+            rate = self._rate_of(admitted.service.name)
+            rate.note(choice.backlog_tokens + tokens, seconds)
+
     def place(
         self,
         admitted: admission.Admitted,
@@ -131,13 +273,7 @@
         """Choose an upstream, if what is held here is still in force."""
         if not self.holder.may_serve(now):
             return None
-        candidates = self.pool.of_service(admitted.service.name)
-        choice = self.placer.choose(
-            self._wanted(admitted, candidates, now),
-            candidates,
-            tried,
-            now,
-        )
+        choice = self._choose(admitted, tried, now)
         if choice is not None:
             LOGGER.info(
                 'request placed',
@@ -160,11 +296,24 @@
             )
         return choice
 
+    def _choose(
+        self,
+        admitted: admission.Admitted,
+        tried: frozenset[str],
+        now: float,
+    ) -> placement.Choice | None:
+        candidates = self.pool.of_service(admitted.service.name)
+        return self.placer.choose(
+            self._wanted(admitted, candidates),
+            candidates,
+            tried,
+            now,
+        )
+
     def _wanted(
         self,
         admitted: admission.Admitted,
         candidates: list[upstreams.Upstream],
-        now: float,
     ) -> placement.Wanted:
         engine = admitted.service.engine
         asked = admitted.terms
@@ -176,19 +325,7 @@
                 is_engine=False,
                 others_open=self.others.open,
             )
-        open_answers = self._long_answers(admitted.service.name)
-        open_answers.note(
-            sum(
-                known.long_answers + self.others.long[known.id]
-                for known in candidates
-            ),
-            now,
-        )
-        count = separation.count_for_writing(
-            open_answers.recent(now),
-            engine.slots,
-            len(candidates),
-        )
+        count = self._writing_count(admitted.service.name)
         return placement.Wanted(
             parts=asked.parts,
             session=asked.session,
--- a/cranberryrill/forwarding/placement.py
+++ b/cranberryrill/forwarding/placement.py
@@ -87,6 +87,8 @@
     cost: float
     candidates: int
     is_home: bool
+    # What was left to read there before this request.
+    backlog_tokens: int = 0
     # Where the upstream should fetch cached parts, if anywhere.
     fetch_from: upstreams.Upstream | None = None
 
@@ -150,6 +152,7 @@
             costs[best.id],
             len(usable),
             best is home,
+            backlog_of(best, wanted),
             holder if fetches else None,
         )
 
@@ -168,8 +171,7 @@
         return (
             missing
             + _disturbance(upstream, missing, wanted)
-            + sum(upstream.reading.values())
-            + wanted.others_reading.get(upstream.id, 0)
+            + backlog_of(upstream, wanted)
             + running * TOKENS_PER_RUNNING
             + upstream.others_waiting(now) * TOKENS_PER_WAITING
             + far * TOKENS_PER_CROSSING
@@ -239,6 +241,12 @@
     return preferred or usable
 
 
+def backlog_of(upstream: upstreams.Upstream, wanted: Wanted) -> int:
+    """Return how many prompt tokens an upstream is still to read."""
+    others = wanted.others_reading.get(upstream.id, 0)
+    return sum(upstream.reading.values()) + others
+
+
 def may_fetch(token_bytes: int, link_mbps: float) -> bool:
     """Say whether fetching a cached token is faster than reading it."""
     if token_bytes <= 0 or link_mbps <= 0:
