Recover faster after all processes were killed

Cause: after the final fault callers were told to come back in half a second, twice, while the election took two; members looked for its end in steps of 0.3 to 0.45 s, entries for a proof in steps of 0.25 s. A replica that had gone dark cost each new request 1.3 s.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -12,8 +12,10 @@
 # A caller is answered this long before it stops waiting: the answer has to
 # reach it. In seconds.
 ANSWER_MARGIN = 0.01
-# By then a process that lost its proof of freshness has mostly a new one.
-RETRY_NOT_SERVING = 0.5
+# An election takes this long, and so does all that is needed to serve after a
+# start, in seconds.
+PROOF_EXPECTED = 2.2
+RETRY_LEAST = 0.3
 # Other processes serve at once.
 RETRY_STOPPING = 0.02
 
@@ -41,7 +43,7 @@
 ) -> result.Result[Admitted, failures.Failure]:
     """Take a request, or say why not; `drawn` chooses among the services."""
     if not table.document.version:
-        return result.Err(not_serving('no configuration is known yet'))
+        return result.Err(not_serving('no configuration is known yet', 0))
     route = table.route_for(request.first('host') or '', request.path)
     if route is None:
         return result.Err(failures.UnknownRoute('no route covers this path'))
@@ -91,9 +93,15 @@
     )
 
 
-def not_serving(cause: str) -> failures.NotServing:
-    """Return the refusal of a process that can't prove what is in force."""
-    return failures.NotServing(cause, retry_after_seconds=RETRY_NOT_SERVING)
+def not_serving(cause: str, unproved_for: float) -> failures.NotServing:
+    """Return the refusal of a process that can't prove what is in force.
+
+    Callers come back when it mostly can again, not before.
+    """
+    return failures.NotServing(
+        cause,
+        retry_after_seconds=max(PROOF_EXPECTED - unproved_for, RETRY_LEAST),
+    )
 
 
 def _no_organisation(asked: terms.Terms) -> failures.Failure:
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -17,9 +17,9 @@
 LEAST_FINAL_STATUS = 200
 # What waits for the caller before curl is asked to pause.
 MAX_UNREAD_BYTES = 1024 * 1024
-# A connection that is not accepted by then is tried elsewhere; several round
-# trips between data centres, and one lost packet.
-CONNECT_TIMEOUT_MS = 1300
+# A connection that is not accepted by then is tried elsewhere: many round
+# trips between data centres, less than a lost packet takes to be sent again.
+CONNECT_TIMEOUT_MS = 350
 # An upstream whose machine no longer answers is noticed by these probes.
 KEEPALIVE_SECONDS = 1
 # These are the ways in which curl fails to connect; what they mean also
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -27,6 +27,7 @@
     vocabulary,
 )
 from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import timing as membership_timing
 from cranberryrill.traffic import document, matching
 
 LOGGER = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         self.writes_long: dict[str, bool] = {}
         self.long_answers: dict[str, separation.OpenAnswers] = {}
         self.open: set[asyncio.Task[None]] = set()
+        self.started_at = clock.monotonic_seconds()
         self.stop: admission.Stop | None = None
 
     async def run_updates(self) -> None:
@@ -111,6 +113,7 @@
         if not self.holder.may_serve(request.received_at):
             refused: failures.Failure = admission.not_serving(
                 'the configuration may be out of date',
+                self._unproved_for(request.received_at),
             )
             await self._refuse(request, answering, refused)
             return
@@ -376,6 +379,11 @@
         """Return when a refused caller should come back, in seconds."""
         return self.rng.uniform(RETRY_LEAST, RETRY_MOST)
 
+    def _unproved_for(self, now: float) -> float:
+        """Return since when nothing can be served here, in seconds."""
+        ended_at = self.holder.fresh_as_of + membership_timing.SERVING_LEASE
+        return now - max(self.started_at, ended_at)
+
     async def _deliver(
         self,
         admitted: admission.Admitted,
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -13,7 +13,7 @@
 # Failures that were seen are forgotten by half in this time, in seconds.
 FAILURE_HALF_LIFE = 4.0
 # An upstream that took no connection is left alone this long, in seconds.
-UNREACHABLE_PAUSE = 1.0
+UNREACHABLE_PAUSE = 3.0
 # One whose address another has is soon dropped from the registry, in seconds.
 REPLACED_PAUSE = 6.0
 # A load that was reported longer ago than this says little, in seconds.
--- a/cranberryrill/membership/timing.py
+++ b/cranberryrill/membership/timing.py
@@ -13,6 +13,8 @@
 # that two of them in a row can fail within one lease.
 FIRST_PROOF = 0.8
 RETRY_PAUSE = 0.1
+# A member looks this often whether it has a proof again.
+PROOF_POLL = 0.06
 # Directory changes reach watchers and other members at most this often.
 DIRECTORY_PERIOD = 0.25
 EXCHANGE_TIMEOUT = 0.8
--- a/cranberryrill/membership/watching.py
+++ b/cranberryrill/membership/watching.py
@@ -151,6 +151,7 @@
         # Returns the newest holder's fencing number in the applied state.
         self.fencing = fencing
         self.watches: set[Watch] = set()
+        self.had_proof = False
 
     async def Watch(self, stream: WatchStream) -> None:
         """Keep one watcher up to date until it leaves."""
@@ -203,6 +204,18 @@
             self.wake()
         self.members.meet_all(share.hosts)
 
+    async def run_proofs(self) -> None:
+        """Wake every watch when there is a proof again after there was none.
+
+        Processes that have just started wait for it.
+        """
+        while True:
+            await asyncio.sleep(timing.PROOF_POLL)
+            age = clock.monotonic_seconds() - self.member.freshness.as_of
+            if self.had_proof != (age < timing.SERVING_LEASE):
+                self.had_proof = not self.had_proof
+                self.wake()
+
     async def run_wakes(self) -> None:
         """Wake every watch when entries were committed."""
         local = self.member
--- a/cranberryrill/programs/replicating.py
+++ b/cranberryrill/programs/replicating.py
@@ -147,6 +147,7 @@
         group.start(compactor.run(), 'compactor')
         group.start(reading.Reader(self.member, self.peers).run(), 'reader')
         group.start(self.watching.run_wakes(), 'wakes')
+        group.start(self.watching.run_proofs(), 'proofs')
         group.start(self.exchange.run_expiry(), 'expiry')
 
         served = PeerTasks(group, lead, sender, self.exchange)
--- a/cranberryrill/replication/electing.py
+++ b/cranberryrill/replication/electing.py
@@ -38,17 +38,28 @@
                 timing.ELECTION_TIMEOUT_LEAST,
                 timing.ELECTION_TIMEOUT_MOST,
             )
-            await asyncio.sleep(silence / 4)
-            if self.is_due(clock.monotonic_seconds(), silence):
+            began_at = clock.monotonic_seconds()
+            # After a start nobody was heard of, and the members start alike.
+            offset = silence - timing.ELECTION_TIMEOUT_LEAST
+            while not self.is_due(clock.monotonic_seconds(), silence, offset):
+                await asyncio.sleep(timing.ELECTION_POLL)
+                if clock.monotonic_seconds() >= began_at + silence:
+                    break
+            else:
                 await self.stand()
 
-    def is_due(self, now: float, silence: float) -> bool:
+    def is_due(
+        self,
+        now: float,
+        silence: float,
+        offset: float = 0,
+    ) -> bool:
         """Say whether to stand for election."""
         if self.member.standing is member.Standing.leader:
             return False
         if not self.member.is_voter:
             return False
-        if not self.member.may_vote(now):
+        if not self.member.may_vote(now - offset):
             return False
         return now >= self.member.heard_at + silence
 
--- a/cranberryrill/replication/reading.py
+++ b/cranberryrill/replication/reading.py
@@ -20,7 +20,14 @@
         while True:
             if self.member.leader in self.member.peers:
                 await self._refresh(self.member.leader)
-            await asyncio.sleep(timing.READ_PERIOD)
+            await asyncio.sleep(self.pause(clock.monotonic_seconds()))
+
+    def pause(self, now: float) -> float:
+        """Return how long to wait before the leader is asked again."""
+        age = now - self.member.freshness.as_of
+        return (
+            timing.PROOF_POLL if age > timing.PROOF_DUE else timing.READ_PERIOD
+        )
 
     async def _refresh(self, leader: str) -> None:
         # The age counts from the sending: the answer may have been delayed.
--- a/cranberryrill/replication/timing.py
+++ b/cranberryrill/replication/timing.py
@@ -9,6 +9,7 @@
 HEARTBEAT = 0.15
 ELECTION_TIMEOUT_LEAST = 1.2
 ELECTION_TIMEOUT_MOST = 1.8
+ELECTION_POLL = 0.05
 # A peer that does not answer within this time gets a new connection.
 CALL_TIMEOUT = 0.5
 VOTE_TIMEOUT = 0.4
@@ -21,4 +22,7 @@
 ADMIT_TIMEOUT = 20.0
 FOUNDING_PERIOD = 0.1
 READ_PERIOD = 0.25
+# A follower without a proof that is younger than this asks more often.
+PROOF_DUE = 0.8
+PROOF_POLL = 0.06
 PROPOSE_TIMEOUT = 4.0
