--- /dev/null
+++ b/tests/forwarding/conftest.py
@@ -0,0 +1,63 @@
+"""Share what tests of forwarding need."""
+
+from cranberryrill.forwarding import terms, upstreams
+from cranberryrill.registry import registry_pb2
+from cranberryrill.traffic import document
+
+
+def make_upstream(
+    name: str,
+    *,
+    data_centre: str = 'a',
+    slots: int = 8,
+    cache_tokens: int = 100_000,
+) -> upstreams.Upstream:
+    registration = registry_pb2.Registration(
+        id=name,
+        service='model',
+        host='10.0.0.1',
+        port=80,
+        data_centre=data_centre,
+        slots=slots,
+        started_unix_ms=1,
+    )
+    return upstreams.Upstream(registration, cache_tokens)
+
+
+def make_route(
+    *,
+    name: str = 'r',
+    target_ms: float = 500,
+    repeatable: bool = True,
+    streams: bool = False,
+    timeout_ms: float = 4000,
+    max_attempts: int = 2,
+) -> document.Route:
+    return document.Route(
+        name=name,
+        host='a.example',
+        path_prefix='/x/',
+        shares=(document.Share('model', 1),),
+        repeatability=(
+            document.Repeatability.idempotent
+            if repeatable
+            else document.Repeatability.at_most_once
+        ),
+        streams=streams,
+        resumable=streams and repeatable,
+        timeout_ms=timeout_ms,
+        target_latency_ms=target_ms,
+        event_gap_ms=200 if streams else 0,
+        max_attempts=max_attempts,
+        rank=1,
+        anonymous=False,
+        sticky=True,
+    )
+
+
+def parts_of(session: str, own: int = 1000) -> tuple[terms.Part, ...]:
+    return (
+        terms.Part('system', 2500),
+        terms.Part(session, 3800),
+        terms.Part(f'{session}-own', own),
+    )
--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,97 @@
+"""Which requests are taken, and until when they are answered."""
+
+import dataclasses
+
+import result
+
+from cranberryrill import failures
+from cranberryrill.forwarding import admission, terms, vocabulary
+from cranberryrill.traffic import document, matching
+from tests.forwarding import conftest
+
+NAMES = vocabulary.Vocabulary()
+ROUTE = conftest.make_route(timeout_ms=800)
+DOCUMENT = document.Document(
+    version=1,
+    routes=(ROUTE,),
+    services=(document.Service('model', '/health', 10),),
+    organisations=(
+        document.Organisation('o', (matching.digest_of('key'),), rank=3),
+    ),
+)
+
+
+def request_for(
+    path: str = '/x/1',
+    *headers: tuple[str, str],
+) -> terms.Request:
+    given = (('Host', 'a.example'), *headers)
+    return terms.Request('GET', path, given, b'', 100.0)
+
+
+def admit(
+    request: terms.Request,
+    held: document.Document = DOCUMENT,
+) -> admission.Admitted | failures.Failure:
+    admitted = admission.admit(request, NAMES, matching.RouteTable(held), 0)
+    if isinstance(admitted, result.Err):
+        return admitted.err_value
+    return admitted.ok_value
+
+
+def test_process_without_a_configuration_says_not_serving() -> None:
+    refused = admit(request_for(), document.EMPTY)
+    assert isinstance(refused, failures.NotServing)
+    assert refused.ran is failures.Ran.no
+
+
+def test_keys_and_routes_are_checked() -> None:
+    key = ('Authorization', 'Bearer key')
+    assert isinstance(admit(request_for('/y')), failures.UnknownRoute)
+    assert isinstance(admit(request_for()), failures.MissingKey)
+    wrong = ('Authorization', 'Bearer other')
+    assert isinstance(admit(request_for('/x/1', wrong)), failures.InvalidKey)
+    taken = admit(request_for('/x/1', key))
+    assert isinstance(taken, admission.Admitted)
+    assert (taken.organisation, taken.rank) == ('o', 3)
+
+
+def test_anonymous_route_still_names_the_organisation_of_a_key() -> None:
+    free = dataclasses.replace(ROUTE, anonymous=True)
+    held = dataclasses.replace(DOCUMENT, routes=(free,))
+    without = admit(request_for(), held)
+    assert isinstance(without, admission.Admitted)
+    assert not without.organisation
+    named = admit(request_for('/x/1', ('Authorization', 'Bearer key')), held)
+    assert isinstance(named, admission.Admitted)
+    assert named.organisation == 'o'
+
+
+def test_answer_comes_by_the_shorter_of_both_times() -> None:
+    free = dataclasses.replace(ROUTE, anonymous=True)
+    held = dataclasses.replace(DOCUMENT, routes=(free,))
+    by_route = admit(request_for('/x/1', ('X-Deadline-Ms', '5000')), held)
+    assert isinstance(by_route, admission.Admitted)
+    assert by_route.answer_by == 100.8
+    by_caller = admit(request_for('/x/1', ('X-Deadline-Ms', '300')), held)
+    assert isinstance(by_caller, admission.Admitted)
+    assert by_caller.answer_by < 100.3
+
+
+def test_stopping_process_takes_only_what_it_can_finish() -> None:
+    free = dataclasses.replace(ROUTE, anonymous=True)
+    held = dataclasses.replace(DOCUMENT, routes=(free,))
+    taken = admit(request_for(), held)
+    assert isinstance(taken, admission.Admitted)
+    stop = admission.Stop(out_at=99, ends_at=100.5)
+    assert not admission.may_finish(taken, stop, 100)
+    assert admission.may_finish(taken, stop, 98)
+    later = admission.Stop(out_at=99, ends_at=101)
+    assert admission.may_finish(taken, later, 100)
+
+
+def test_callers_come_back_when_there_is_a_proof_again() -> None:
+    early = admission.not_serving('no proof', 0)
+    late = admission.not_serving('no proof', 5)
+    assert early.retry_after_seconds == admission.PROOF_EXPECTED
+    assert late.retry_after_seconds == admission.RETRY_LEAST
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,229 @@
+"""The platform's messages are decoded once, or refused with a type."""
+
+import json
+import pathlib
+import platform
+import typing
+
+import pytest
+import result
+from fleet_adapter import (
+    configuration,
+    reading,
+    registration,
+    reports,
+    settings,
+)
+
+from cranberryrill.traffic import checking, document
+
+BEAT: dict[str, typing.Any] = {
+    'service': 's1',
+    'address': '10.0.0.9:8080',
+    'zone': 'z1',
+    'version': 'v1',
+    'slots': 48,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'born': 1700000000000,
+    'sequence': 4,
+}
+ROUTE: dict[str, typing.Any] = {
+    'name': 'r1',
+    'host': 'a.example',
+    'pathPrefix': '/p/',
+    'kind': 'streaming',
+    'timeoutMs': 4000,
+    'targetLatencyMs': 250,
+    'priority': 1,
+    'service': 's1',
+    'maxAttempts': 2,
+    'allowAnonymous': False,
+    'stickySessions': True,
+    'resumeStreams': True,
+    'gapAimMs': 200,
+}
+CONFIGURATION: dict[str, typing.Any] = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 's1',
+            'healthCheckPath': '/health',
+            'maxConnections': 320,
+            'engine': {
+                'slots': 48,
+                'kvCapacityTokens': 610271,
+                'kvTokenBytes': 192512,
+                'linkMbps': 1500000.0,
+            },
+        },
+    ],
+    'limits': {'maxBodyBytes': 100},
+    'tenants': [{'name': 't1', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
+}
+
+
+def decode(**changes: typing.Any) -> document.Document:
+    fields = {**CONFIGURATION, **changes}
+    return configuration.decode(json.dumps(fields).encode())
+
+
+def test_python_keeps_its_own_platform_module() -> None:
+    assert platform.python_version()
+    folder = pathlib.Path(settings.__file__).parent.parent
+    assert folder.name == 'platform'
+    assert not (folder / '__init__.py').exists()
+    assert not (folder / 'platform.py').exists()
+
+
+def test_configuration_keeps_what_it_holds() -> None:
+    decoded = decode()
+    route = decoded.routes[0]
+    assert route.resumable and route.repeatable and route.streams
+    assert decoded.services[0].engine == document.Engine(
+        48,
+        610271,
+        192512,
+        1500000.0,
+    )
+    assert decoded.organisations[0].rank == 1
+    assert 'k1' not in str(decoded.organisations)
+    assert json.loads(decoded.source) == CONFIGURATION
+    assert not checking.faults_of(decoded)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'repeatable'),
+    [
+        ('safe', False, True),
+        ('unsafe', True, False),
+        ('streaming', False, False),
+        ('streaming', True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    kind: str,
+    *,
+    resumable: bool,
+    repeatable: bool,
+) -> None:
+    route = {**ROUTE, 'kind': kind, 'resumeStreams': resumable}
+    assert decode(routes=[route]).routes[0].repeatable is repeatable
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'version': '7'},
+        {'version': 1.5},
+        {'version': True},
+        {'routes': {}},
+        {'routes': [1]},
+        {'routes': [{**ROUTE, 'kind': 'other'}]},
+        {'routes': [{**ROUTE, 'host': None}]},
+        {'routes': [{**ROUTE, 'timeoutMs': -1}]},
+        {'routes': [{**ROUTE, 'allowAnonymous': 'yes'}]},
+        {'tenants': [{'name': 't', 'apiKeys': [1]}]},
+        {'services': [{'name': 's1'}]},
+    ],
+)
+def test_unreadable_configuration_has_a_type(
+    changes: dict[str, typing.Any],
+) -> None:
+    with pytest.raises(reading.Unreadable):
+        decode(**changes)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'{"version":7,"rou', b'[]', b'\xff\xfe', b'[' * 100_000],
+)
+def test_bytes_that_can_not_be_read_have_a_type(content: bytes) -> None:
+    with pytest.raises(reading.Unreadable):
+        configuration.decode(content)
+    with pytest.raises(reading.Unreadable):
+        registration.decode('i', content)
+
+
+def test_heartbeat_keeps_what_it_says() -> None:
+    known = registration.decode('i', json.dumps(BEAT).encode())
+    assert (known.host, known.port) == ('10.0.0.9', 8080)
+    assert known.started_unix_ms == BEAT['born']
+    assert not known.leaving
+    draining = {**BEAT, 'state': 'draining', 'new': 1}
+    assert registration.decode('i', json.dumps(draining).encode()).leaving
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'unknown'},
+        {'address': '10.0.0.9'},
+        {'address': '10.0.0.9:0'},
+        {'slots': 'many'},
+        {'sequence': None},
+        {'service': ''},
+        {'born': 1.5},
+    ],
+)
+def test_strange_heartbeat_names_no_upstream(
+    changes: dict[str, typing.Any],
+) -> None:
+    content = json.dumps({**BEAT, **changes}).encode()
+    with pytest.raises(reading.Unreadable):
+        registration.decode('i', content)
+
+
+def test_report_is_the_same_bytes_each_time() -> None:
+    written = reports.UsageReports()
+    first = written.message_of(7, {'b': 2, 'a': 1})
+    assert first == written.message_of(7, {'a': 1, 'b': 2})
+    assert json.loads(first.body) == {
+        'windowIndex': 7,
+        'counts': {'a': 1, 'b': 2},
+    }
+
+
+SETTINGS = """
+name: "front-1"
+host: "10.0.0.1"
+data_centre: "z1"
+internal_ports: [7340,7355]
+seeds: ["10.0.0.1:8229"]
+trust: network
+founds: true
+data_folder:
+callers: "10.0.0.1:8227"
+bounds:
+  revocation_ms: 5000
+  lease_ms:
+outside:
+  address:
+  duties:
+"""
+
+
+def test_settings_leave_out_what_a_deployment_lacks(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / 'settings'
+    path.write_text(SETTINGS)
+    read = settings.read(path)
+    assert isinstance(read, result.Ok)
+    assert read.ok_value.outside is None
+    assert read.ok_value.data_folder is None
+    assert read.ok_value.bounds.lease_ms == 3000
+    assert read.ok_value.seed_hosts == ('10.0.0.1',)
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'a: [', 'name: 1', SETTINGS.replace('network', 'anybody')],
+)
+def test_broken_settings_are_named(tmp_path: pathlib.Path, text: str) -> None:
+    path = tmp_path / 'settings'
+    path.write_text(text)
+    read = settings.read(path)
+    assert isinstance(read, result.Err)
+    assert read.err_value.faults
--- /dev/null
+++ b/tests/usage/test_clock_windows.py
@@ -0,0 +1,83 @@
+"""Usage by windows of the wall clock: each figure once, frozen when sealed."""
+
+from cranberryrill.state import commands_pb2
+from cranberryrill.usage import clock_reporting, clock_windows, usage_pb2
+
+
+def add(
+    state: clock_windows.ClockWindowsState,
+    number: int,
+    window: int,
+    requests: int,
+) -> None:
+    batch = usage_pb2.AddWindowUsage(
+        source='e1',
+        incarnation='i',
+        number=number,
+        lines=[
+            usage_pb2.WindowLine(
+                window=window,
+                organisation='o',
+                requests=requests,
+            ),
+        ],
+    )
+    state.apply(commands_pb2.Command(add_window_usage=batch), 1, 0)
+
+
+def seal(state: clock_windows.ClockWindowsState, number: int) -> None:
+    sealed = usage_pb2.SealClockWindow(number=number)
+    state.apply(commands_pb2.Command(seal_clock_window=sealed), 1, 0)
+
+
+def mark(state: clock_windows.ClockWindowsState, number: int) -> None:
+    marked = usage_pb2.MarkClockWindow(number=number)
+    state.apply(commands_pb2.Command(mark_clock_window=marked), 1, 0)
+
+
+def test_resent_batch_counts_once() -> None:
+    state = clock_windows.ClockWindowsState()
+    add(state, 1, 7, 4)
+    add(state, 1, 7, 4)
+    assert state.counts[7]['o'] == 4
+
+
+def test_sealed_window_never_changes() -> None:
+    state = clock_windows.ClockWindowsState()
+    add(state, 1, 7, 4)
+    seal(state, 7)
+    add(state, 2, 7, 9)
+    assert state.counts[7]['o'] == 4
+    assert state.late_requests == 9
+    assert state.unreported() == [7]
+    mark(state, 7)
+    assert not state.unreported()
+
+
+def test_quiet_windows_between_are_reported_too() -> None:
+    state = clock_windows.ClockWindowsState()
+    seal(state, 7)
+    assert not state.unreported()
+    seal(state, 10)
+    assert state.unreported() == [8, 9, 10]
+
+
+def test_state_survives_a_snapshot() -> None:
+    state = clock_windows.ClockWindowsState()
+    add(state, 1, 7, 4)
+    seal(state, 7)
+    add(state, 2, 8, 1)
+    other = clock_windows.ClockWindowsState()
+    other.load(state.dump())
+    assert other.dump() == state.dump()
+    add(other, 2, 8, 1)
+    assert other.counts[8]['o'] == 1
+
+
+def test_window_is_due_after_its_end_and_the_handover() -> None:
+    delay = clock_reporting.SEAL_DELAY
+    ends_at = 100 * 5
+    early = (ends_at + delay - 0.1) * 1000
+    late = (ends_at + delay + 0.1) * 1000
+    assert clock_reporting.due_window(early, 5) == 98
+    assert clock_reporting.due_window(late, 5) == 99
