--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,159 @@
+"""Start a fleet as the users' platform would: from seeds, on loopback.
+
+Each VM has a loopback address of its own, so that all use the same ports.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import shutil
+import socket
+import sys
+
+from bench import processes
+
+ROOT = pathlib.Path(__file__).parent.parent
+PORTS = (21_000, 29_000)
+PORTS_IN_RANGE = 16
+CALLERS = 8
+READINESS = 9
+CONTROL = 10
+WINDOW_SECONDS = 2
+SEEDS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Vm:
+    """Name one process and where it listens."""
+
+    name: str
+    host: str
+    role: str
+
+    def settings(
+        self,
+        folder: pathlib.Path,
+        port: int,
+        seeds: list[str],
+        *,
+        founds: bool,
+        outside: str,
+    ) -> dict[str, object]:
+        """Return the settings of the process."""
+        known: dict[str, object] = {
+            'name': self.name,
+            'host': self.host,
+            'data_centre': 'z1',
+            'internal_ports': [port, port + PORTS_IN_RANGE],
+            'seeds': seeds,
+            'trust': 'network',
+            'founds': founds,
+            'heartbeat_ms': 400,
+            'bounds': {
+                'usage_window_seconds': WINDOW_SECONDS,
+                'retry_slack': 60,
+                'grace_seconds': 8,
+            },
+        }
+        if outside:
+            known['outside'] = {
+                'address': outside,
+                'duties': ['usage_reporting'],
+            }
+        if self.role == 'control':
+            known['data_folder'] = str(folder / f'data-{self.name}')
+            known['control'] = f'{self.host}:{port + CONTROL}'
+        else:
+            known['callers'] = f'{self.host}:{port + CALLERS}'
+            known['readiness'] = f'{self.host}:{port + READINESS}'
+        return known
+
+
+class Fleet:
+    """Run control members and entries as processes."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        rng: random.Random,
+        members: int = 3,
+        entries: int = 2,
+        outside: str = '',
+    ) -> None:
+        self.folder = folder
+        self.outside = outside
+        network = f'127.{rng.randrange(10, 250)}.{rng.randrange(250)}'
+        self.port = _free_port(f'{network}.1', rng)
+        self.members = [
+            Vm(f'control-{number}', f'{network}.{number + 1}', 'control')
+            for number in range(members)
+        ]
+        self.entries = [
+            Vm(f'entry-{number}', f'{network}.{number + 101}', 'entry')
+            for number in range(entries)
+        ]
+        self.seeds = self.members[:SEEDS]
+        self.running: dict[str, processes.Process] = {}
+
+    @property
+    def control(self) -> list[str]:
+        """Return where operators and upstreams reach the members."""
+        return [f'{vm.host}:{self.port + CONTROL}' for vm in self.members]
+
+    def callers(self, number: int) -> str:
+        """Return where an entry serves callers."""
+        return f'{self.entries[number].host}:{self.port + CALLERS}'
+
+    def readiness(self, number: int) -> str:
+        """Return where an entry says whether it is ready."""
+        return f'{self.entries[number].host}:{self.port + READINESS}'
+
+    def start_all(self) -> None:
+        """Start every process for the first time."""
+        for vm in (*self.members, *self.entries):
+            self.start(vm, founds=True)
+
+    def start(self, vm: Vm, *, founds: bool = False) -> None:
+        """Start one process."""
+        seeds = [f'{seed.host}:{self.port + CONTROL}' for seed in self.seeds]
+        settings = vm.settings(
+            self.folder,
+            self.port,
+            seeds,
+            founds=founds,
+            outside=self.outside,
+        )
+        path = self.folder / f'{vm.name}.yaml'
+        # JSON is YAML, too.
+        path.write_text(json.dumps(settings))
+        process = processes.Process(
+            vm.name,
+            [sys.executable, str(ROOT / 'platform' / 'run.py'), vm.role],
+            self.folder / f'{vm.name}.log',
+            {**os.environ, 'CRANBERRYRILL_BOOT': str(path)},
+        )
+        process.start()
+        self.running[vm.name] = process
+
+    def wipe(self, vm: Vm) -> None:
+        """Let a stopped member lose its disk."""
+        shutil.rmtree(self.folder / f'data-{vm.name}', ignore_errors=True)
+
+    def stop(self) -> None:
+        """End every process."""
+        for process in self.running.values():
+            if process.is_running():
+                process.kill()
+
+
+def _free_port(host: str, rng: random.Random) -> int:
+    while True:
+        port = rng.randrange(*PORTS)
+        with socket.socket() as tried:
+            try:
+                tried.bind((host, port))
+            except OSError:
+                continue
+        return port
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,8 +14,15 @@
 class Process:
     """One running process, with its log in a file."""
 
-    def __init__(self, name: str, command: list[str], log: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log: pathlib.Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self.environment = environment
         self.command = command
         self.log = log
         self.popen: subprocess.Popen[bytes] | None = None
@@ -28,6 +35,7 @@
                 stdout=stream,
                 stderr=stream,
                 stdin=subprocess.DEVNULL,
+                env=self.environment,
             )
 
     def send(self, number: int) -> None:
--- /dev/null
+++ b/tests/system/test_fleet.py
@@ -0,0 +1,298 @@
+"""Run the real programs with the platform's words, against its stand-in."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import typing
+from collections import abc
+
+import pytest
+from tornado import httpclient
+
+from bench import fleet
+from standins import fleet as outside
+
+START_SECONDS = 20.0
+IN_FORCE_SECONDS = 2.0
+REVOCATION_SECONDS = 5.0
+
+
+def configuration(
+    version: int,
+    *,
+    keys: tuple[str, ...] = ('key-1', 'key-2'),
+) -> dict[str, typing.Any]:
+    common = {
+        'host': 'a.example',
+        'timeoutMs': 4000,
+        'targetLatencyMs': 500,
+        'priority': 1,
+        'allowAnonymous': False,
+    }
+    return {
+        'version': version,
+        'routes': [
+            {
+                **common,
+                'name': 'stream',
+                'pathPrefix': '/stream/',
+                'kind': 'streaming',
+                'service': 'model',
+                'maxAttempts': 2,
+                'resumeStreams': True,
+                'gapAimMs': 200,
+            },
+            {
+                **common,
+                'name': 'order',
+                'pathPrefix': '/order/',
+                'kind': 'unsafe',
+                'service': 'desk',
+                'maxAttempts': 1,
+            },
+        ],
+        'services': [
+            {
+                'name': 'model',
+                'healthCheckPath': '/health',
+                'maxConnections': 50,
+                'engine': {'slots': 8, 'kvCapacityTokens': 1000},
+            },
+            {
+                'name': 'desk',
+                'healthCheckPath': '/health',
+                'maxConnections': 50,
+            },
+        ],
+        'limits': {},
+        'tenants': [{'name': 'tenant-1', 'apiKeys': list(keys)}],
+    }
+
+
+@dataclasses.dataclass
+class System:
+    """A running fleet with its stand-ins."""
+
+    fleet: fleet.Fleet
+    replicas: list[outside.Replica]
+    reports: outside.Reports
+    attempts: int = 0
+
+    async def put(self, wanted: dict[str, typing.Any]) -> int:
+        body = json.dumps(wanted)
+        for address in self.fleet.control:
+            url = f'http://{address}/api/configuration'
+            status = await outside.call(url, 'PUT', body)
+            if status:
+                return status
+        return 0
+
+    async def ask(
+        self,
+        path: str,
+        entry: int = 0,
+        key: str = 'key-1',
+    ) -> httpclient.HTTPResponse:
+        self.attempts += 1
+        request = httpclient.HTTPRequest(
+            f'http://{self.fleet.callers(entry)}{path}',
+            method='POST',
+            body='{}',
+            headers={
+                'Host': 'a.example',
+                'Authorization': f'Token {key}',
+                outside.ATTEMPT: f'attempt-{self.attempts}',
+                'Cranberryrill-Deadline-Ms': '4000',
+            },
+            request_timeout=6,
+        )
+        client = httpclient.AsyncHTTPClient()
+        return await client.fetch(request, raise_error=False)
+
+    async def until(
+        self,
+        wanted: abc.Callable[[], abc.Awaitable[bool]],
+        seconds: float,
+    ) -> None:
+        async with asyncio.timeout(seconds):
+            while not await wanted():
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self) -> bool:
+        statuses = [
+            await outside.call(
+                f'http://{self.fleet.readiness(number)}/api/readiness',
+                'GET',
+            )
+            for number in range(len(self.fleet.entries))
+        ]
+        if set(statuses) != {200}:
+            return False
+        answers = [
+            await self.ask('/order/1', number)
+            for number in range(len(self.fleet.entries))
+        ]
+        return all(answer.code == 200 for answer in answers)
+
+
+@pytest.fixture
+async def system(tmp_path: pathlib.Path) -> abc.AsyncIterator[System]:
+    reports = outside.Reports()
+    reports.start()
+    running = fleet.Fleet(
+        tmp_path,
+        random.Random(),
+        outside=f'127.0.0.1:{reports.port}',
+    )
+    replicas = [
+        outside.Replica(f'i-{service}-{number}', service, running.control)
+        for service in ('model', 'desk')
+        for number in range(2)
+    ]
+    beating = []
+    try:
+        running.start_all()
+        for replica in replicas:
+            replica.start()
+            beating.append(asyncio.create_task(replica.run_heartbeats()))
+        made = System(running, replicas, reports)
+        await made.until(
+            lambda: is_put(made, configuration(3)),
+            START_SECONDS,
+        )
+        await made.until(made.is_ready, START_SECONDS)
+        yield made
+    finally:
+        for task in beating:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        running.stop()
+        for replica in replicas:
+            replica.stop()
+
+
+async def is_put(made: System, wanted: dict[str, typing.Any]) -> bool:
+    return await made.put(wanted) == 200
+
+
+async def test_requests_are_answered_with_their_signature(
+    system: System,
+) -> None:
+    stream = await system.ask('/stream/1')
+    assert stream.code == 200
+    assert stream.headers[outside.SIGNATURE].startswith('signed-i-model')
+    assert stream.body.count(b'data: piece') == 4
+    plain = await system.ask('/order/1', 1)
+    assert plain.body.startswith(b'done by i-desk')
+    ran = [one for known in system.replicas for one in known.ran]
+    assert {one.organisation for one in ran} == {'tenant-1'}
+    assert not any(known.keys_seen for known in system.replicas)
+    assert (await system.ask('/order/1', key='wrong')).code == 401
+    assert (await system.ask('/none/1')).code == 404
+
+
+async def test_withdrawn_key_stops_and_invalid_changes_nothing(
+    system: System,
+) -> None:
+    invalid = configuration(9)
+    invalid['routes'][0]['service'] = 'none'
+    assert await system.put(invalid) == 400
+    assert await system.put(configuration(5, keys=('key-2',))) == 200
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    for entry in range(2):
+        assert (await system.ask('/order/1', entry)).code == 401
+        other = await system.ask('/order/1', entry, key='key-2')
+        assert other.code == 200
+    # An older version is acknowledged and changes nothing.
+    assert await system.put(configuration(4)) == 200
+    url = f'http://{system.fleet.control[0]}/api/configuration'
+    client = httpclient.AsyncHTTPClient()
+    read = json.loads((await client.fetch(url)).body)
+    assert read == configuration(5, keys=('key-2',))
+
+
+async def test_leaving_replica_gets_nothing_new(system: System) -> None:
+    leaving = system.replicas[0]
+    leaving.state = 'draining'
+    assert await leaving.beat()
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    before = len(leaving.ran)
+    for number in range(10):
+        assert (await system.ask('/stream/1', number % 2)).code == 200
+    assert len(leaving.ran) == before
+
+
+async def test_lost_disk_and_killed_members_lose_nothing(
+    system: System,
+) -> None:
+    first, *others = system.fleet.members
+    system.fleet.running[first.name].kill()
+    system.fleet.wipe(first)
+    system.fleet.start(first)
+    await system.until(
+        lambda: is_put(system, configuration(6)),
+        START_SECONDS,
+    )
+    await asyncio.sleep(IN_FORCE_SECONDS * 2)
+    # The member that lost its disk counts again: another one may be lost.
+    system.fleet.running[others[0].name].kill()
+    await system.until(
+        lambda: is_put(system, configuration(7)),
+        START_SECONDS,
+    )
+    for vm in system.fleet.members:
+        if system.fleet.running[vm.name].is_running():
+            system.fleet.running[vm.name].kill()
+    for vm in system.fleet.members:
+        system.fleet.start(vm)
+    read: dict[str, typing.Any] = {}
+
+    async def is_read() -> bool:
+        url = f'http://{system.fleet.control[1]}/api/configuration'
+        client = httpclient.AsyncHTTPClient()
+        with contextlib.suppress(OSError, httpclient.HTTPError):
+            answer = await client.fetch(url)
+            read.update(json.loads(answer.body))
+        return bool(read)
+
+    await system.until(is_read, START_SECONDS)
+    assert read['version'] == 7
+    await system.until(system.is_ready, START_SECONDS)
+
+
+async def test_planned_stop_of_an_entry_loses_no_request(
+    system: System,
+) -> None:
+    for replica in system.replicas:
+        replica.work_seconds = 0.4
+    waiting = [asyncio.create_task(system.ask('/order/1')) for _ in range(10)]
+    await asyncio.sleep(0.1)
+    process = system.fleet.running[system.fleet.entries[0].name]
+    process.send(signal.SIGTERM)
+    answers = await asyncio.gather(*waiting)
+    assert {answer.code for answer in answers} == {200}
+    url = f'http://{system.fleet.readiness(0)}/api/readiness'
+    assert await outside.call(url, 'GET') != 200
+    assert await asyncio.to_thread(process.wait) == 0
+
+
+async def test_usage_is_reported_once_and_exactly(system: System) -> None:
+    for number in range(40):
+        assert (await system.ask('/order/1', number % 2)).code == 200
+    begun = sum(len(known.ran) for known in system.replicas)
+
+    async def is_reported() -> bool:
+        taken = system.reports.taken
+        figures = [reports[0][2] for reports in taken.values()]
+        return sum(one.get('tenant-1', 0) for one in figures) >= begun
+
+    await system.until(is_reported, START_SECONDS)
+    for reports in system.reports.taken.values():
+        assert len({json.dumps(report) for report in reports}) == 1
+    figures = [reports[0][2] for reports in system.reports.taken.values()]
+    assert sum(one.get('tenant-1', 0) for one in figures) == begun
