Answer what was read before a planned stop closes its connections

Change: connections are closed until none is left, those with a request after their answer. The test failed before: connections were never forgotten, which also let memory grow with each of them.

--- a/cranberryrill/forwarding/server.py
+++ b/cranberryrill/forwarding/server.py
@@ -4,6 +4,7 @@
 import http
 import logging
 import typing
+import weakref
 
 from tornado import http1connection, httpserver, httputil
 
@@ -13,6 +14,8 @@
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
+# Connections whose answer was awaited are looked at again after this time.
+CLOSING_PERIOD = 0.02
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -25,7 +28,8 @@
         self.idle = asyncio.Event()
         self.idle.set()
         # The requests that are awaited, coming in or being answered.
-        self.intakes: dict[object, Intake] = {}
+        # Whoever serves a connection holds its intake.
+        self.intakes: weakref.WeakSet[Intake] = weakref.WeakSet()
 
     def start_request(
         self,
@@ -38,16 +42,30 @@
             request_conn,
         )
         intake = Intake(self, connection)
-        self.intakes[server_conn] = intake
+        self.intakes.add(intake)
         return intake
 
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection."""
-        self.intakes.pop(server_conn, None)
+    async def close(self, ends_at: float) -> None:
+        """Close every connection once it waits for no answer.
+
+        A request whose head is in is answered first: it may have been read
+        while the others were closed.
+        """
+        while self.open_intakes() and clock.monotonic_seconds() < ends_at:
+            self.close_idle()
+            await asyncio.sleep(CLOSING_PERIOD)
+
+    def open_intakes(self) -> list['Intake']:
+        """Return the intakes whose connections are open."""
+        return [
+            intake
+            for intake in self.intakes
+            if not intake.connection.stream.closed()
+        ]
 
     def close_idle(self) -> None:
         """Close each connection on which no request has begun to arrive."""
-        for intake in list(self.intakes.values()):
+        for intake in self.open_intakes():
             if intake.line is None:
                 intake.connection.stream.close()
 
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -167,7 +167,7 @@
                 extra={'open_requests': self.callers.busy},
             )
         listening.stop()
-        self.callers.close_idle()
+        await self.callers.close(stop.ends_at)
         await self.usage.hand_over()
 
     async def _run_followers(self) -> None:
