--- a/cranberryrill/programs/core.py
+++ b/cranberryrill/programs/core.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import logging
+import pathlib
+import tempfile
 from collections import abc
 
 from tornado import httpserver, web
@@ -10,9 +12,9 @@
 from cranberryrill import clock, tasks, transport
 from cranberryrill.authority import holding, sending
 from cranberryrill.forwarding import counting
-from cranberryrill.programs import replicating, running
+from cranberryrill.programs import recovering, replicating, running
 from cranberryrill.registry import registry_pb2
-from cranberryrill.replication import compacting, voters
+from cranberryrill.replication import compacting, files, voters
 from cranberryrill.settings import fleet
 from cranberryrill.traffic import publishing
 from cranberryrill.usage import clock_reporting
@@ -51,16 +53,15 @@
         self,
         settings: fleet.FleetSettings,
         dialect: Dialect,
+        folder: pathlib.Path,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
         self.group = tasks.TaskGroup()
         self.duties = tasks.TaskGroup()
-        if settings.data_folder is None:
-            raise DataFolderMissing(settings.name)
         dialer = transport.Dialer(None)
         self.replicated = replicating.Replicated(
-            _place_of(settings),
+            _place_of(settings, folder),
             dialer,
             BOUNDS,
         )
@@ -98,6 +99,7 @@
             transport.listen_http(api, fleet.address_of(settings.control))
         await running.until_stopped(self.group)
         api.stop()
+        await api.close_all_connections()
         self.authority.stopping = True
         unfinished = list(self.duties.tasks)
         if unfinished:
@@ -168,15 +170,67 @@
         self.duties.start(reporter.run(), 'usage reports')
 
 
-class DataFolderMissing(OSError):
-    """A control member has no folder for its state."""
+class Program:
+    """Run a control member, anew each time that its disk has failed.
 
-    def __init__(self, name: str) -> None:
-        super().__init__(f'{name}: a control member needs a data folder')
+    A member without a disk learns everything at each start and never votes.
+    """
+
+    def __init__(
+        self,
+        settings: fleet.FleetSettings,
+        dialect: Dialect,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.folder = settings.data_folder or _temporary_folder()
+        self.core: Core | None = None
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        while True:
+            try:
+                await self._serve()
+            except (files.DiskFailed, tasks.TaskFailed, OSError) as error:
+                if not self._is_disk_failure(error):
+                    raise
+                LOGGER.error('disk failed', extra={'cause': str(error)})
+            else:
+                return
+            if not await recovering.wait_writable(self.folder):
+                return
+            LOGGER.info('disk works again')
+
+    def reload(self, settings: fleet.FleetSettings) -> None:
+        """Take up changed settings."""
+        self.settings = settings
+        if self.core is not None:
+            self.core.reload(settings)
+
+    async def _serve(self) -> None:
+        self.core = Core(self.settings, self.dialect, self.folder)
+        await self.core.run()
+
+    def _is_disk_failure(self, error: Exception) -> bool:
+        if isinstance(error, files.DiskFailed):
+            return True
+        if isinstance(error, tasks.TaskFailed):
+            core = self.core
+            if core is None:
+                return False
+            failure = core.replicated.member.store.disk.failure
+            return isinstance(failure, files.DiskFailed)
+        return getattr(error, 'errno', 0) in recovering.DISK_ERRORS
+
+
+def _temporary_folder() -> pathlib.Path:
+    return pathlib.Path(tempfile.mkdtemp())
 
 
-def _place_of(settings: fleet.FleetSettings) -> replicating.Place:
-    assert settings.data_folder is not None
+def _place_of(
+    settings: fleet.FleetSettings,
+    folder: pathlib.Path,
+) -> replicating.Place:
     others = {
         host: transport.Address(host, settings.control_port)
         for host in settings.seed_hosts
@@ -185,7 +239,8 @@
     return replicating.Place(
         # Members know one another by where they listen.
         name=settings.host,
-        data_folder=settings.data_folder,
+        data_folder=folder,
+        diskless=settings.data_folder is None,
         others=others,
         port=settings.control_port,
         fixed=False,
--- /dev/null
+++ b/cranberryrill/programs/recovering.py
@@ -0,0 +1,45 @@
+"""Wait until a disk that has failed takes writes again."""
+
+import asyncio
+import contextlib
+import errno
+import os
+import pathlib
+
+from cranberryrill import tasks
+from cranberryrill.programs import running
+
+DISK_ERRORS = frozenset((errno.ENOSPC, errno.EIO, errno.EDQUOT, errno.EROFS))
+PROBE_NAME = 'probe'
+# More than a start writes.
+PROBE_BYTES = 262_144
+PROBE_PERIOD = 0.3
+
+
+async def wait_writable(folder: pathlib.Path) -> bool:
+    """Return once the folder takes writes; false if told to stop before."""
+    stop = running.StopSignals(tasks.TaskGroup())
+    while not await asyncio.to_thread(takes_writes, folder):
+        try:
+            async with asyncio.timeout(PROBE_PERIOD):
+                await stop.asked.wait()
+        except TimeoutError:
+            continue
+        return False
+    return not stop.asked.is_set()
+
+
+def takes_writes(folder: pathlib.Path) -> bool:
+    """Say whether a file can be written and synced."""
+    path = folder / PROBE_NAME
+    try:
+        with path.open('wb') as stream:
+            stream.write(bytes(PROBE_BYTES))
+            stream.flush()
+            os.fsync(stream.fileno())
+    except OSError:
+        return False
+    finally:
+        with contextlib.suppress(OSError):
+            path.unlink(missing_ok=True)
+    return True
--- a/cranberryrill/programs/replicating.py
+++ b/cranberryrill/programs/replicating.py
@@ -44,6 +44,8 @@
     # Who may found the group; nobody where it was founded before.
     founding_members: tuple[str, ...] | None = None
     heartbeat_seconds: float = 1.2
+    # Whether the folder is lost with each restart.
+    diskless: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -168,10 +170,12 @@
             self.clock_usage,
             self.orders,
         ]
-        return member.Member(
+        local = member.Member(
             place.name,
             tuple(place.others),
             store.Store(place.data_folder),
             machine.Machine(slices),
             clock.monotonic_seconds(),
         )
+        local.diskless = place.diskless
+        return local
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -247,7 +247,9 @@
 
     def _silence_limit(self) -> float:
         if self.answer.head is None:
-            return timing.UPSTREAM_HEAD_TIMEOUT
+            if self.call.is_model:
+                return timing.UPSTREAM_HEAD_TIMEOUT
+            return timing.SERVICE_HEAD_TIMEOUT
         if self.call.streamed:
             return timing.TOKEN_SILENCE
         return timing.BODY_SILENCE
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -193,7 +193,8 @@
 seeds: ["10.0.0.1:8229"]
 trust: network
 founds: true
-data_folder:
+data_folder: ""
+readiness:
 callers: "10.0.0.1:8227"
 bounds:
   revocation_ms: 5000
