Outlive a disk that takes no writes; bound the silence of plain services

Tried and reverted: control members without a disk that keep their files in the temporary folder; it takes neither locks nor renames there, and a member that failed so looped without a pause. Change: the member stands aside until a probe is written and synced, then starts anew within its process; a plain service has 10 s to its head. Open: on the grown sites only four members serve control where five should vote (count = 1 a zone).

--- a/cranberryrill/programs/core.py
+++ b/cranberryrill/programs/core.py
@@ -4,7 +4,6 @@
 import dataclasses
 import logging
 import pathlib
-import tempfile
 from collections import abc
 
 from tornado import httpserver, web
@@ -171,19 +170,18 @@
 
 
 class Program:
-    """Run a control member, anew each time that its disk has failed.
-
-    A member without a disk learns everything at each start and never votes.
-    """
+    """Run a control member, anew each time that its disk has failed."""
 
     def __init__(
         self,
         settings: fleet.FleetSettings,
         dialect: Dialect,
     ) -> None:
+        if settings.data_folder is None:
+            raise DataFolderMissing(settings.name)
         self.settings = settings
         self.dialect = dialect
-        self.folder = settings.data_folder or _temporary_folder()
+        self.folder = settings.data_folder
         self.core: Core | None = None
 
     async def run(self) -> None:
@@ -223,8 +221,11 @@
         return getattr(error, 'errno', 0) in recovering.DISK_ERRORS
 
 
-def _temporary_folder() -> pathlib.Path:
-    return pathlib.Path(tempfile.mkdtemp())
+class DataFolderMissing(OSError):
+    """A control member has no folder for its state."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f'{name}: a control member needs a data folder')
 
 
 def _place_of(
@@ -240,7 +241,6 @@
         # Members know one another by where they listen.
         name=settings.host,
         data_folder=folder,
-        diskless=settings.data_folder is None,
         others=others,
         port=settings.control_port,
         fixed=False,
--- a/cranberryrill/programs/recovering.py
+++ b/cranberryrill/programs/recovering.py
@@ -19,14 +19,15 @@
 async def wait_writable(folder: pathlib.Path) -> bool:
     """Return once the folder takes writes; false if told to stop before."""
     stop = running.StopSignals(tasks.TaskGroup())
-    while not await asyncio.to_thread(takes_writes, folder):
+    while True:
         try:
             async with asyncio.timeout(PROBE_PERIOD):
                 await stop.asked.wait()
         except TimeoutError:
-            continue
-        return False
-    return not stop.asked.is_set()
+            if await asyncio.to_thread(takes_writes, folder):
+                return True
+        else:
+            return False
 
 
 def takes_writes(folder: pathlib.Path) -> bool:
--- a/cranberryrill/programs/replicating.py
+++ b/cranberryrill/programs/replicating.py
@@ -44,8 +44,6 @@
     # Who may found the group; nobody where it was founded before.
     founding_members: tuple[str, ...] | None = None
     heartbeat_seconds: float = 1.2
-    # Whether the folder is lost with each restart.
-    diskless: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,12 +168,10 @@
             self.clock_usage,
             self.orders,
         ]
-        local = member.Member(
+        return member.Member(
             place.name,
             tuple(place.others),
             store.Store(place.data_folder),
             machine.Machine(slices),
             clock.monotonic_seconds(),
         )
-        local.diskless = place.diskless
-        return local
--- a/cranberryrill/replication/following.py
+++ b/cranberryrill/replication/following.py
@@ -37,7 +37,6 @@
                 term=local.term,
                 identity=local.identity,
                 match_index=self._hint(request.previous_index),
-                diskless=local.diskless,
             )
         await self._store(request)
         match_index = request.previous_index + len(request.entries)
@@ -47,7 +46,6 @@
             identity=local.identity,
             accepted=True,
             match_index=match_index,
-            diskless=local.diskless,
         )
 
     async def hear(self, term: int, leader: str, now: float) -> bool:
--- a/cranberryrill/replication/founding.py
+++ b/cranberryrill/replication/founding.py
@@ -18,9 +18,9 @@
 class Founder:
     """Found a group, or offer it to those who have not heard of it.
 
-    Only the first name of the founding members that have a disk founds, and
-    only when every other one answers that it has never been in a group: so no
-    second group can form beside one that any of them remembers.
+    Only the first name of the founding members founds, and only when every
+    other one answers that it has never been in a group: so no second group
+    can form beside one that any of them remembers.
     """
 
     def __init__(
@@ -43,24 +43,19 @@
         while self.member.store.log.last_index == 0:
             if self.member.group.members:
                 await self._ask_all(self.member.group)
-            elif not self.member.diskless:
+            elif self._is_first():
                 await self.found()
             await asyncio.sleep(timing.FOUNDING_PERIOD)
 
     async def found(self) -> None:
         """Found a group if every other member is new."""
         answers = await self._ask_all(replication_pb2.Group())
-        if len(answers) < len(self.founding_members) - 1:
-            return
         free = {
             name: answer.identity
             for name, answer in answers.items()
             if answer.free
         }
-        diskless = [name for name in answers if answers[name].diskless]
-        if len(free) + len(diskless) < len(answers):
-            return
-        if any(name < self.member.name for name in free):
+        if len(free) < len(self.founding_members) - 1:
             return
         voters = {**free, self.member.name: self.member.identity}
         group = groups.make(identifiers.new_identifier('group'), voters)
@@ -80,10 +75,11 @@
         """Say whether this member may found, and never heard of a group."""
         if self.member.name not in self.founding_members:
             return False
-        if self.member.diskless:
-            return False
         return not self.member.group.members and not self.member.term
 
+    def _is_first(self) -> bool:
+        return self.member.name == min(self.founding_members)
+
     async def _ask_all(
         self,
         group: replication_pb2.Group,
--- a/cranberryrill/replication/leading.py
+++ b/cranberryrill/replication/leading.py
@@ -74,7 +74,6 @@
     ) -> bool:
         known = self.member.progress[peer]
         known.identify(answer.identity)
-        known.diskless = answer.diskless
         known.confirmed_at = max(known.confirmed_at, sent_at)
         doubled = known.batch_entries * 2
         known.batch_entries = min(doubled, member.MAX_BATCH_ENTRIES)
--- a/cranberryrill/replication/member.py
+++ b/cranberryrill/replication/member.py
@@ -37,7 +37,6 @@
     identity: str = ''
     # How many entries the next append holds at most.
     batch_entries: int = MAX_BATCH_ENTRIES
-    diskless: bool = False
     # How much of snapshots was sent in this term.
     snapshot_bytes: int = 0
     # When the newest append that the peer has answered was sent.
@@ -124,8 +123,6 @@
         self.store = disk
         self.machine = state
         self.started_at = now
-        # Whether this member keeps nothing over a restart: it never votes.
-        self.diskless = False
         self.standing = Standing.follower
         self.leader = ''
         self.heard_at = float('-inf')
--- a/cranberryrill/replication/service.py
+++ b/cranberryrill/replication/service.py
@@ -102,7 +102,6 @@
             replication_pb2.FoundAnswer(
                 identity=self.member.identity,
                 free=free,
-                diskless=self.member.diskless,
             ),
         )
 
--- a/cranberryrill/replication/voters.py
+++ b/cranberryrill/replication/voters.py
@@ -133,7 +133,6 @@
                 caught_up=known.match_index >= local.commit_index - 1,
             )
             for name, known in local.progress.items()
-            if not known.diskless
         ]
 
     def _led_for(self, now: float) -> float:
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -44,3 +44,24 @@
     taken.broke_off(ConnectionError(), 1)
     assert bytes(taken.answer.content) == EVENTS
     assert taken.answer.end is None
+
+
+def silent_exchange(*, is_model: bool) -> transfer.Transfer:
+    call = relay_pb2.Call(is_model=is_model, claimed=True)
+    answer = answers.Answer('req-1', call, 0)
+    return transfer.Transfer(call, answer, asyncio.Event(), 0)
+
+
+def test_a_service_that_never_answers_is_given_up_by_its_route() -> None:
+    taken = silent_exchange(is_model=False)
+    taken.watch(9)
+    assert taken.answer.end is None
+    # A caller that resends for half a minute gets to know it in time.
+    taken.watch(11)
+    assert isinstance(taken.answer.end, relay_pb2.Failed)
+
+
+def test_a_model_may_be_silent_while_it_queues() -> None:
+    taken = silent_exchange(is_model=True)
+    taken.watch(60)
+    assert taken.answer.end is None
