--- /dev/null
+++ b/cranberryrill/forwarding/attempts.py
@@ -0,0 +1,121 @@
+"""Define what an attempt at an upstream needs, and what it proves."""
+
+import dataclasses
+import typing
+
+from cranberryrill import failures
+from cranberryrill.forwarding import (
+    admission,
+    budget,
+    exchange,
+    multi,
+    placement,
+    upstreams,
+    vocabulary,
+)
+
+FRAMING = ('content-length', 'transfer-encoding')
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """Hold an upstream's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Tried:
+    """Say how an attempt ended that delivered nothing final."""
+
+    ran: failures.Ran
+    cause: str
+    # Whether the request reached the upstream.
+    arrived: bool = True
+    timed_out: bool = False
+    # The upstream's own failure, which the caller may get unchanged.
+    answer: Answer | None = None
+
+
+class Surroundings(typing.Protocol):
+    """Provide what all deliveries of a process share."""
+
+    names: vocabulary.Vocabulary
+    driver: multi.Driver
+    data_centre: str
+
+    async def wait_turn(
+        self,
+        admitted: admission.Admitted,
+    ) -> failures.Failure | None:
+        """Wait until a request may be sent, or return why it is not."""
+
+    def place(
+        self,
+        admitted: admission.Admitted,
+        tried: frozenset[str],
+        now: float,
+    ) -> placement.Choice | None:
+        """Choose an upstream."""
+
+    def budget_of(self, service: str, now: float) -> budget.Budget:
+        """Return the budget for repeats of a service."""
+
+    def processes(self) -> int:
+        """Return how many processes share a budget."""
+
+    def count_start(self, admitted: admission.Admitted, now: float) -> None:
+        """Count that a request has begun to run."""
+
+    def note_answer(
+        self,
+        admitted: admission.Admitted,
+        choice: placement.Choice,
+        tokens: int,
+        seconds: float,
+    ) -> None:
+        """Note how long an upstream took to begin its answer."""
+
+    def note_read(
+        self,
+        upstream: upstreams.Upstream,
+        admitted: admission.Admitted,
+    ) -> None:
+        """Note that an upstream has read a request's prompt."""
+
+    def retry_after(self, admitted: admission.Admitted, now: float) -> float:
+        """Return when a refused caller should come back, in seconds."""
+
+
+def address_of(upstream: upstreams.Upstream | None) -> str:
+    """Return where an upstream listens, as host:port."""
+    if upstream is None:
+        return ''
+    return f'{upstream.registration.host}:{upstream.registration.port}'
+
+
+def broken_before_head(
+    sent: exchange.Exchange,
+    upstream: upstreams.Upstream,
+    now: float,
+) -> Tried:
+    """Say what an exchange without an answer proves."""
+    if isinstance(sent.ending, exchange.Unsent):
+        upstream.note_unreachable(now)
+        return Tried(failures.Ran.no, sent.ending.cause, arrived=False)
+    upstream.note_outcome(now, failed=True)
+    return Tried(failures.Ran.unknown, cause_of(sent))
+
+
+def cause_of(sent: exchange.Exchange) -> str:
+    """Return why an exchange broke off."""
+    if isinstance(sent.ending, exchange.Broken):
+        return sent.ending.cause
+    return 'the answer ended early'
+
+
+def is_framed(sent: exchange.Exchange) -> bool:
+    """Say whether the answer tells where it ends."""
+    return any(sent.first(name) is not None for name in FRAMING)
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -1,25 +1,20 @@
 """Bring one request to upstreams and its answer back to the caller."""
 
-import dataclasses
 import http
 import logging
-import typing
 
 from cranberryrill import clock, failures
 from cranberryrill.forwarding import (
     admission,
-    budget,
+    attempts,
     events,
     exchange,
     headers,
-    multi,
     placement,
     repeating,
     reply,
     separation,
-    upstreams,
     verdicts,
-    vocabulary,
 )
 
 LOGGER = logging.getLogger(__name__)
@@ -27,79 +22,6 @@
 # More of an answer than this is passed on before it is whole.
 HELD_BYTES = 262_144
 LOWEST_PRIORITY = 9
-FRAMING = ('content-length', 'transfer-encoding')
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """Hold an upstream's whole answer."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class Tried:
-    """Say how an attempt ended that delivered nothing final."""
-
-    ran: failures.Ran
-    cause: str
-    # Whether the request reached the upstream.
-    arrived: bool = True
-    timed_out: bool = False
-    # The upstream's own failure, which the caller may get unchanged.
-    answer: Answer | None = None
-
-
-class Surroundings(typing.Protocol):
-    """Provide what all deliveries of a process share."""
-
-    names: vocabulary.Vocabulary
-    driver: multi.Driver
-    data_centre: str
-
-    async def wait_turn(
-        self,
-        admitted: admission.Admitted,
-    ) -> failures.Failure | None:
-        """Wait until a request may be sent, or return why it is not."""
-
-    def place(
-        self,
-        admitted: admission.Admitted,
-        tried: frozenset[str],
-        now: float,
-    ) -> placement.Choice | None:
-        """Choose an upstream."""
-
-    def budget_of(self, service: str, now: float) -> budget.Budget:
-        """Return the budget for repeats of a service."""
-
-    def processes(self) -> int:
-        """Return how many processes share a budget."""
-
-    def count_start(self, admitted: admission.Admitted, now: float) -> None:
-        """Count that a request has begun to run."""
-
-    def note_answer(
-        self,
-        admitted: admission.Admitted,
-        choice: placement.Choice,
-        tokens: int,
-        seconds: float,
-    ) -> None:
-        """Note how long an upstream took to begin its answer."""
-
-    def note_read(
-        self,
-        upstream: upstreams.Upstream,
-        admitted: admission.Admitted,
-    ) -> None:
-        """Note that an upstream has read a request's prompt."""
-
-    def retry_after(self, admitted: admission.Admitted, now: float) -> float:
-        """Return when a refused caller should come back, in seconds."""
 
 
 class Delivery:
@@ -109,7 +31,7 @@
         self,
         admitted: admission.Admitted,
         answering: reply.Reply,
-        shared: Surroundings,
+        shared: attempts.Surroundings,
     ) -> None:
         self.admitted = admitted
         self.reply = answering
@@ -146,7 +68,7 @@
         self,
         choice: placement.Choice,
         now: float,
-    ) -> Tried | None:
+    ) -> attempts.Tried | None:
         """Send the request once; return nothing once the answer is final."""
         upstream = choice.upstream
         self.attempts += 1
@@ -168,14 +90,14 @@
         sent: exchange.Exchange,
         choice: placement.Choice,
         sent_at: float,
-    ) -> Tried | None:
+    ) -> attempts.Tried | None:
         upstream = choice.upstream
         while not sent.has_head and sent.ending is None:
             if not await self._wait(sent):
                 upstream.note_outcome(self._now(), failed=True)
                 return self._timed_out()
         if not sent.has_head:
-            return _broken_before_head(sent, upstream, self._now())
+            return attempts.broken_before_head(sent, upstream, self._now())
         now = self._now()
         self.shared.note_answer(
             self.admitted,
@@ -193,13 +115,15 @@
         if verdict is verdicts.Verdict.rejected:
             if sent.status == http.HTTPStatus.MISDIRECTED_REQUEST:
                 upstream.note_replaced(now)
-            return Tried(failures.Ran.no, f'rejected with {sent.status}')
+            return attempts.Tried(
+                failures.Ran.no, f'rejected with {sent.status}'
+            )
         upstream.note_outcome(
             now,
             failed=verdict is not verdicts.Verdict.success,
         )
         if verdict is verdicts.Verdict.foreign:
-            return Tried(failures.Ran.unknown, 'not the answer to it')
+            return attempts.Tried(failures.Ran.unknown, 'not the answer to it')
         self._count_start(now)
         self.shared.note_read(upstream, self.admitted)
         if verdict is verdicts.Verdict.success and self.admitted.route.streams:
@@ -210,7 +134,7 @@
         self,
         sent: exchange.Exchange,
         verdict: verdicts.Verdict,
-    ) -> Tried | None:
+    ) -> attempts.Tried | None:
         body = bytearray()
         while sent.ending is None:
             body += sent.take_content()
@@ -220,14 +144,16 @@
                 return self._timed_out()
         body += sent.take_content()
         if not isinstance(sent.ending, exchange.Complete):
-            return Tried(failures.Ran.unknown, _cause_of(sent))
-        answer = Answer(
+            return attempts.Tried(failures.Ran.unknown, attempts.cause_of(sent))
+        answer = attempts.Answer(
             sent.status,
             tuple(headers.for_caller(sent.headers)),
             bytes(body),
         )
         if verdict is verdicts.Verdict.failure:
-            return Tried(failures.Ran.yes, 'failed there', answer=answer)
+            return attempts.Tried(
+                failures.Ran.yes, 'failed there', answer=answer
+            )
         await self._send(answer)
         return None
 
@@ -235,7 +161,7 @@
         self,
         sent: exchange.Exchange,
         body: bytes,
-    ) -> Tried | None:
+    ) -> attempts.Tried | None:
         """Pass on an answer that is too large to hold."""
         await self._start(sent, body)
         while sent.ending is None or sent.content:
@@ -245,11 +171,13 @@
             elif not await self._wait(sent):
                 return self._timed_out()
         if not isinstance(sent.ending, exchange.Complete):
-            return Tried(failures.Ran.unknown, _cause_of(sent))
+            return attempts.Tried(failures.Ran.unknown, attempts.cause_of(sent))
         self._finish()
         return None
 
-    async def _relay_events(self, sent: exchange.Exchange) -> Tried | None:
+    async def _relay_events(
+        self, sent: exchange.Exchange
+    ) -> attempts.Tried | None:
         while True:
             content = sent.take_content()
             whole = self.events.feed(content) if content else b''
@@ -262,13 +190,15 @@
                 return self._timed_out()
         return await self._end_events(sent)
 
-    async def _end_events(self, sent: exchange.Exchange) -> Tried | None:
+    async def _end_events(
+        self, sent: exchange.Exchange
+    ) -> attempts.Tried | None:
         partial = self.events.partial
         self.events.drop_partial()
         if not isinstance(sent.ending, exchange.Complete):
-            return Tried(failures.Ran.unknown, _cause_of(sent))
-        if partial and not _is_framed(sent):
-            return Tried(failures.Ran.unknown, 'ended within an event')
+            return attempts.Tried(failures.Ran.unknown, attempts.cause_of(sent))
+        if partial and not attempts.is_framed(sent):
+            return attempts.Tried(failures.Ran.unknown, 'ended within an event')
         if partial or not self.reply.started:
             await self._pass_on(sent, partial)
         self._finish()
@@ -287,7 +217,7 @@
             content,
         )
 
-    async def _send(self, answer: Answer) -> None:
+    async def _send(self, answer: attempts.Answer) -> None:
         self.outcome = 'answered'
         await self.reply.send_whole(
             answer.status,
@@ -299,7 +229,7 @@
         self.outcome = 'answered'
         self.reply.finish()
 
-    async def _give_up(self, tried: Tried) -> None:
+    async def _give_up(self, tried: attempts.Tried) -> None:
         if self.reply.started:
             # It must not look whole.
             self.outcome = 'broken_off'
@@ -310,7 +240,7 @@
         await self._send(tried.answer)
         self.outcome = 'failed_upstream'
 
-    def _failure_of(self, tried: Tried) -> failures.Failure:
+    def _failure_of(self, tried: attempts.Tried) -> failures.Failure:
         if self.progress.ran is failures.Ran.no:
             return self._no_place(tried)
         if tried.timed_out:
@@ -335,7 +265,7 @@
             failures.Ran.unknown,
         )
 
-    def _no_place(self, tried: Tried) -> failures.Failure:
+    def _no_place(self, tried: attempts.Tried) -> failures.Failure:
         return failures.NoPlace(
             tried.cause,
             retry_after_seconds=self.shared.retry_after(
@@ -344,7 +274,7 @@
             ),
         )
 
-    def _may_try_again(self, tried: Tried) -> bool:
+    def _may_try_again(self, tried: attempts.Tried) -> bool:
         now = self._now()
         if not repeating.may_try_again(
             self.admitted.route,
@@ -363,7 +293,7 @@
     def _can_resume(self) -> bool:
         return self.admitted.route.resumable and bool(self.events.last_id)
 
-    def _note(self, tried: Tried, choice: placement.Choice) -> None:
+    def _note(self, tried: attempts.Tried, choice: placement.Choice) -> None:
         self.progress = self.progress.after(tried.ran)
         self.tried |= {choice.upstream.id}
         LOGGER.info(
@@ -389,7 +319,7 @@
             deadline_ms=max(int(left), 1),
             organisation=admitted.organisation,
             priority=priority,
-            fetch_from=_address_of(choice.fetch_from),
+            fetch_from=attempts.address_of(choice.fetch_from),
             last_event_id=self.events.last_id if self.reply.started else '',
         )
         return exchange.Call(
@@ -418,37 +348,9 @@
     def _now(self) -> float:
         return clock.monotonic_seconds()
 
-    def _timed_out(self) -> Tried:
-        return Tried(
+    def _timed_out(self) -> attempts.Tried:
+        return attempts.Tried(
             failures.Ran.unknown,
             'no answer in time',
             timed_out=True,
         )
-
-
-def _address_of(upstream: upstreams.Upstream | None) -> str:
-    if upstream is None:
-        return ''
-    return f'{upstream.registration.host}:{upstream.registration.port}'
-
-
-def _broken_before_head(
-    sent: exchange.Exchange,
-    upstream: upstreams.Upstream,
-    now: float,
-) -> Tried:
-    if isinstance(sent.ending, exchange.Unsent):
-        upstream.note_unreachable(now)
-        return Tried(failures.Ran.no, sent.ending.cause, arrived=False)
-    upstream.note_outcome(now, failed=True)
-    return Tried(failures.Ran.unknown, _cause_of(sent))
-
-
-def _cause_of(sent: exchange.Exchange) -> str:
-    if isinstance(sent.ending, exchange.Broken):
-        return sent.ending.cause
-    return 'the answer ended early'
-
-
-def _is_framed(sent: exchange.Exchange) -> bool:
-    return any(sent.first(name) is not None for name in FRAMING)
--- a/cranberryrill/forwarding/separation.py
+++ b/cranberryrill/forwarding/separation.py
@@ -26,7 +26,9 @@
 
 def writes_long(asked: terms.Terms) -> bool:
     """Say whether a request has more to write than to read."""
-    return asked.output_tokens * READ_FOR_WRITTEN >= asked.prompt_tokens > 0
+    if not asked.prompt_tokens:
+        return False
+    return asked.output_tokens * READ_FOR_WRITTEN >= asked.prompt_tokens
 
 
 def count_for_writing(open_answers: float, slots: int, known: int) -> int:
--- a/cranberryrill/forwarding/sharing.py
+++ b/cranberryrill/forwarding/sharing.py
@@ -8,7 +8,7 @@
 import asyncio
 import collections
 import logging
-from collections import abc
+from collections import abc as collection_types
 
 from grpclib import server
 
@@ -30,7 +30,7 @@
 Loads = dict[str, loads_pb2.UpstreamLoad]
 
 
-def loads_of(known: abc.Iterable[upstreams.Upstream]) -> Loads:
+def loads_of(known: collection_types.Iterable[upstreams.Upstream]) -> Loads:
     """Return what this process has at each upstream that it uses."""
     return {
         upstream.id: loads_pb2.UpstreamLoad(
@@ -159,7 +159,7 @@
 
     def update(
         self,
-        processes: abc.Mapping[str, membership_pb2.Announcement],
+        processes: collection_types.Mapping[str, membership_pb2.Announcement],
     ) -> None:
         """Follow the entries that there are now."""
         wanted = {
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -11,6 +11,7 @@
     admission,
     budget,
     counting,
+    dispatcher,
     forwarder,
     instruments,
     server,
@@ -61,8 +62,8 @@
             settings.bounds.usage_window_seconds,
         )
         self.measured = instruments.Instruments()
-        self.forwarder = forwarder.Forwarder(
-            forwarder.Setup(
+        self.dispatcher = dispatcher.Dispatcher(
+            dispatcher.Setup(
                 names,
                 settings.data_centre,
                 budget.Bounds(
@@ -73,14 +74,14 @@
             ),
             self.holder,
             self.usage,
-            self.measured,
             rng,
         )
+        self.forwarder = forwarder.Forwarder(self.dispatcher, self.measured)
         self.callers = server.CallerServer(self.forwarder)
         self.follower = sharing.Follower(
             settings.name,
             dialer,
-            self.forwarder.others,
+            self.dispatcher.others,
         )
 
     def announcement(self) -> membership_pb2.Announcement:
@@ -104,7 +105,7 @@
         settings = self.settings
         LOGGER.info('starting', extra={'role': 'entry'})
         sharing_loads = await transport.listen(
-            [sharing.LoadService(self.forwarder.pool)],
+            [sharing.LoadService(self.dispatcher.pool)],
             transport.Address(settings.host, settings.internal_ports[0] + 1),
             None,
         )
