--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -13,7 +13,6 @@
     reply,
     terms,
 )
-from cranberryrill.membership import timing as membership_timing
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
@@ -71,7 +70,7 @@
 
     def _unproved_for(self, now: float) -> float:
         """Return since when nothing can be served here, in seconds."""
-        ended_at = self.holder.fresh_as_of + membership_timing.SERVING_LEASE
+        ended_at = self.holder.fresh_as_of + self.holder.serving_lease
         return now - max(self.started_at, ended_at)
 
     async def _deliver(
--- a/cranberryrill/membership/holding.py
+++ b/cranberryrill/membership/holding.py
@@ -23,6 +23,12 @@
 WatchStream = client.Stream[membership_pb2.Renewal, membership_pb2.Push]
 
 
+def lease_within(revocation_seconds: float) -> float:
+    """Return the serving lease that keeps a deployment's revocation time."""
+    allowed = revocation_seconds - timing.REQUEST_UNDERWAY
+    return min(timing.SERVING_LEASE, allowed / (1 + timing.CLOCK_DRIFT))
+
+
 def first_proof_due(now: float) -> float:
     """Return the proof's moment that makes a new watch wait less long."""
     return now - timing.WATCH_SILENCE + timing.FIRST_PROOF
@@ -49,6 +55,8 @@
         self.processes: dict[str, membership_pb2.Announcement] = {}
         self.upstreams: dict[str, registry_pb2.Registration] = {}
         self.fresh_as_of = float('-inf')
+        # How long a proof counts, in seconds; deployments may ask for less.
+        self.serving_lease = timing.SERVING_LEASE
         # When this watch was opened, or last brought a fresher proof.
         self.proved_at = float('-inf')
         # Called with a fencing number and the moment that it is proved for.
@@ -58,7 +66,7 @@
 
     def may_serve(self, now: float) -> bool:
         """Say whether what is held here is proved to be in force."""
-        return now < self.fresh_as_of + timing.SERVING_LEASE
+        return now < self.fresh_as_of + self.serving_lease
 
     def agents_for(self, target: str) -> list[membership_pb2.Announcement]:
         """Return the agents whose upstreams offer `target`."""
--- a/cranberryrill/membership/timing.py
+++ b/cranberryrill/membership/timing.py
@@ -2,6 +2,8 @@
 
 # A process serves this long on its newest proof that nothing newer exists.
 SERVING_LEASE = 4.0
+# A request that was admitted may take this long to reach its upstream.
+REQUEST_UNDERWAY = 0.4
 # Clocks of two processes may run apart by this share.
 CLOCK_DRIFT = 0.02
 # No process serves on a proof that is older than this by another's clock.
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -30,6 +30,7 @@
 UNREADY_SECONDS = 2.6
 # Open answers end this long before the process is killed.
 SPARE_SECONDS = 0.5
+MILLISECONDS_PER_SECOND = 1000
 
 
 class Router:
@@ -52,6 +53,9 @@
             for host in settings.seed_hosts
         ]
         self.holder = holding.Holder(dialer, control, self.announcement, rng)
+        self.holder.serving_lease = holding.lease_within(
+            settings.bounds.revocation_ms / MILLISECONDS_PER_SECOND,
+        )
         self.usage = counting.UsageCounter(
             submitting.Submitter(dialer, control, rng),
             settings.name,
--- a/tests/membership/test_holding.py
+++ b/tests/membership/test_holding.py
@@ -70,3 +70,9 @@
     grant(holder, 5, age_ms=200)
     assert holder.proved_at == proved_at
     assert holder.patience(proved_at + timing.WATCH_SILENCE) == 0
+
+
+def test_lease_keeps_a_shorter_revocation_time() -> None:
+    assert holding.lease_within(5) == timing.SERVING_LEASE
+    short = holding.lease_within(2)
+    assert short * (1 + timing.CLOCK_DRIFT) <= 2 - timing.REQUEST_UNDERWAY
--- /dev/null
+++ b/tests/system/test_fleet_soak.py
@@ -0,0 +1,18 @@
+"""A short soak with a fresh seed each time; a failed one prints its seed."""
+
+import pathlib
+import random
+
+from bench import soak_fleet
+
+SECONDS = 8
+
+
+async def test_promises_hold_under_faults(tmp_path: pathlib.Path) -> None:
+    seed = random.SystemRandom().randrange(1_000_000)
+    run = soak_fleet.Soak(tmp_path, random.Random(seed))
+    ledger = await run.run(SECONDS)
+    assert not ledger.broken, f'seed {seed}'
+    assert sum(ledger.faults.values()) > 1, f'seed {seed}'
+    statuses = list(ledger.answers.values())
+    assert statuses.count(soak_fleet.OK) > len(statuses) / 2, f'seed {seed}'
