Hand usage over to members that replaced the seeds

Cause: the entry submitted usage to the members of its settings alone; after all seeds were exchanged it would have reached nobody. Change: it learns members from its watch, as the watch itself does. Fields of the vocabulary that nothing reads are gone.

--- a/cranberryrill/forwarding/terms.py
+++ b/cranberryrill/forwarding/terms.py
@@ -41,11 +41,6 @@
             return self.parts[-2].id
         return self.parts[-1].id if self.parts else ''
 
-    @property
-    def shared(self) -> tuple[Part, ...]:
-        """Return the parts that other requests may have as well."""
-        return self.parts
-
 
 @dataclasses.dataclass(frozen=True)
 class Request:
--- a/cranberryrill/forwarding/vocabulary.py
+++ b/cranberryrill/forwarding/vocabulary.py
@@ -12,10 +12,8 @@
 
     # What callers send and upstreams get unchanged.
     attempt: str = 'x-attempt-id'
-    model: str = 'x-model'
     tokens: str = 'x-token-count'
     prompt_parts: str = 'x-prompt-parts'
-    length_hint: str = 'x-length-hint'
     # What this system sets anew for upstreams.
     deadline: str = 'x-deadline-ms'
     organisation: str = 'x-organisation'
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -184,6 +184,7 @@
     async def _hand_over_usage(self) -> None:
         while True:
             await asyncio.sleep(counting.HANDOVER_PERIOD)
+            self.usage.submitter.learn_control(self.holder.control)
             await self.usage.hand_over()
 
     def _readiness(self) -> web.Application:
--- a/cranberryrill/state/submitting.py
+++ b/cranberryrill/state/submitting.py
@@ -81,6 +81,12 @@
         self.control = rng.sample(control, len(control))
         self.channel: client.Channel | None = None
 
+    def learn_control(self, known: abc.Iterable[transport.Address]) -> None:
+        """Add members that were not known; those of the settings may go."""
+        self.control.extend(
+            address for address in known if address not in self.control
+        )
+
     async def submit(
         self,
         command: commands_pb2.Command,
