--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -89,6 +89,11 @@
         """Return when a refused caller should come back, in seconds."""
 
 
+def timed_out() -> Tried:
+    """Return the end of an attempt for which no time is left."""
+    return Tried(failures.Ran.unknown, 'no answer in time', timed_out=True)
+
+
 def address_of(upstream: upstreams.Upstream | None) -> str:
     """Return where an upstream listens, as host:port."""
     if upstream is None:
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -95,7 +95,7 @@
         while not sent.has_head and sent.ending is None:
             if not await self._wait(sent):
                 upstream.note_outcome(self._now(), failed=True)
-                return self._timed_out()
+                return attempts.timed_out()
         if not sent.has_head:
             return attempts.broken_before_head(sent, upstream, self._now())
         now = self._now()
@@ -141,7 +141,7 @@
             if len(body) > HELD_BYTES:
                 return await self._relay_bytes(sent, bytes(body))
             if not await self._wait(sent):
-                return self._timed_out()
+                return attempts.timed_out()
         body += sent.take_content()
         if not isinstance(sent.ending, exchange.Complete):
             return attempts.Tried(failures.Ran.unknown, attempts.cause_of(sent))
@@ -169,7 +169,7 @@
             if content:
                 await self.reply.extend(content)
             elif not await self._wait(sent):
-                return self._timed_out()
+                return attempts.timed_out()
         if not isinstance(sent.ending, exchange.Complete):
             return attempts.Tried(failures.Ran.unknown, attempts.cause_of(sent))
         self._finish()
@@ -187,7 +187,7 @@
                 break
             elif not await self._wait(sent):
                 self.events.drop_partial()
-                return self._timed_out()
+                return attempts.timed_out()
         return await self._end_events(sent)
 
     async def _end_events(
@@ -347,10 +347,3 @@
 
     def _now(self) -> float:
         return clock.monotonic_seconds()
-
-    def _timed_out(self) -> attempts.Tried:
-        return attempts.Tried(
-            failures.Ran.unknown,
-            'no answer in time',
-            timed_out=True,
-        )
--- a/cranberryrill/programs/command.py
+++ b/cranberryrill/programs/command.py
@@ -15,7 +15,7 @@
 from cranberryrill.certificates import making
 from cranberryrill.commands import config, keys, output, status, usage
 from cranberryrill.commands import settings as settings_commands
-from cranberryrill.programs import agent, control, entry
+from cranberryrill.programs import agent, control, entry, signals
 from cranberryrill.replication import files
 from cranberryrill.settings import loading
 
@@ -37,6 +37,7 @@
     if isinstance(read, result.Err):
         output.fail(read.err_value)
     settings = read.ok_value
+    signals.unmask()
     logs.configure(settings.process.log_level, settings.process.name)
     tracing.configure(settings.process.name, settings.process.trace)
     try:
