--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -20,7 +20,7 @@
 # A connection that is not accepted by then is tried elsewhere: many round
 # trips between data centres, less than a lost packet takes to be sent again.
 CONNECT_TIMEOUT_MS = 350
-# An upstream whose machine no longer answers is noticed by these probes.
+# An upstream whose VM no longer answers is noticed by these probes.
 KEEPALIVE_SECONDS = 1
 # These are the ways in which curl fails to connect; what they mean also
 # depends on whether it had begun to send.
