--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,6 +11,7 @@
 import shutil
 import socket
 import sys
+from collections import abc
 
 from bench import processes
 
@@ -31,6 +32,7 @@
     name: str
     host: str
     role: str
+    has_disk: bool = True
 
     def settings(
         self,
@@ -63,7 +65,8 @@
                 'duties': ['usage_reporting'],
             }
         if self.role == 'control':
-            known['data_folder'] = str(folder / f'data-{self.name}')
+            if self.has_disk:
+                known['data_folder'] = str(folder / f'data-{self.name}')
             known['control'] = f'{self.host}:{port + CONTROL}'
         else:
             known['callers'] = f'{self.host}:{port + CALLERS}'
@@ -81,13 +84,19 @@
         members: int = 3,
         entries: int = 2,
         outside: str = '',
+        diskless: abc.Collection[int] = (),
     ) -> None:
         self.folder = folder
         self.outside = outside
         network = f'127.{rng.randrange(10, 250)}.{rng.randrange(250)}'
         self.port = _free_port(f'{network}.1', rng)
         self.members = [
-            Vm(f'control-{number}', f'{network}.{number + 1}', 'control')
+            Vm(
+                f'control-{number}',
+                f'{network}.{number + 1}',
+                'control',
+                number not in diskless,
+            )
             for number in range(members)
         ]
         self.entries = [
--- a/cranberryrill/replication/founding.py
+++ b/cranberryrill/replication/founding.py
@@ -20,7 +20,8 @@
 
     Only the first name of the founding members founds, and only when every
     other one answers that it has never been in a group: so no second group
-    can form beside one that any of them remembers.
+    can form beside one that any of them remembers. Those that answer that
+    they have no disk don't count.
     """
 
     def __init__(
@@ -43,19 +44,26 @@
         while self.member.store.log.last_index == 0:
             if self.member.group.members:
                 await self._ask_all(self.member.group)
-            elif self._is_first():
+            else:
                 await self.found()
             await asyncio.sleep(timing.FOUNDING_PERIOD)
 
     async def found(self) -> None:
-        """Found a group if every other member is new."""
+        """Found a group if this member is first and every other one is new."""
         answers = await self._ask_all(replication_pb2.Group())
+        with_disk = [
+            name
+            for name in self.founding_members
+            if name not in answers or not answers[name].diskless
+        ]
+        if self.member.name != min(with_disk):
+            return
         free = {
             name: answer.identity
             for name, answer in answers.items()
             if answer.free
         }
-        if len(free) < len(self.founding_members) - 1:
+        if len(free) < len(with_disk) - 1:
             return
         voters = {**free, self.member.name: self.member.identity}
         group = groups.make(identifiers.new_identifier('group'), voters)
@@ -77,9 +85,6 @@
             return False
         return not self.member.group.members and not self.member.term
 
-    def _is_first(self) -> bool:
-        return self.member.name == min(self.founding_members)
-
     async def _ask_all(
         self,
         group: replication_pb2.Group,
--- a/cranberryrill/replication/service.py
+++ b/cranberryrill/replication/service.py
@@ -102,6 +102,7 @@
             replication_pb2.FoundAnswer(
                 identity=self.member.identity,
                 free=free,
+                hosts=(self.member.name, *self.member.peers),
             ),
         )
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,8 @@
 CALL_TIMEOUT = 1.0
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED = 421
+# Callers of control follow a redirection twice.
+REDIRECTS = 2
 SIGNATURE = 'Cranberryrill-Replica-Signature'
 ATTEMPT = 'Cranberryrill-Attempt-Id'
 EXPECTED = 'Cranberryrill-Expect-Replica'
@@ -208,7 +210,7 @@
         method=method,
         body=body,
         request_timeout=CALL_TIMEOUT,
-        follow_redirects=False,
+        max_redirects=REDIRECTS,
     )
     try:
         answer = await client.fetch(request, raise_error=False)
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -38,9 +38,10 @@
 
     free: dict[str, bool]
     peer: str = ''
+    diskless: tuple[str, ...] = ()
 
     def stub(self, peer: str) -> 'Others':
-        return Others(self.free, peer)
+        return Others(self.free, peer, self.diskless)
 
     def reset(self, peer: str) -> None:
         """Forget nothing: there is no connection."""
@@ -55,6 +56,7 @@
         return replication_pb2.FoundAnswer(
             identity=f'id-{self.peer}',
             free=self.free[self.peer],
+            diskless=self.peer in self.diskless,
         )
 
 
@@ -140,6 +142,22 @@
     assert not fresh.group.members
 
 
+async def test_founding_passes_over_members_without_a_disk(
+    tmp_path: pathlib.Path,
+) -> None:
+    disk = store.Store(tmp_path / 'second')
+    local = member.Member('b', ('a', 'c'), disk, machine.Machine([]), 0)
+    answering = Others({'a': False, 'c': True})
+    second = founding.Founder(local, typing.cast(typing.Any, answering))
+    await second.found()
+    # The first may have a disk, and founds.
+    assert not local.group.members
+    answering.diskless = ('a',)
+    await second.found()
+    assert set(groups.identities(local.group)) == {'b', 'c'}
+    disk.close()
+
+
 async def test_used_folder_joins_no_new_group(fresh: member.Member) -> None:
     await fresh.store.save_ballot(1, '')
     await founder(fresh).accept(conftest.voters(fresh.identity))
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -141,12 +141,22 @@
 
 @pytest.fixture
 async def system(tmp_path: pathlib.Path) -> abc.AsyncIterator[System]:
+    async with run_system(tmp_path) as made:
+        yield made
+
+
+@contextlib.asynccontextmanager
+async def run_system(
+    folder: pathlib.Path,
+    **shape: typing.Any,
+) -> abc.AsyncIterator[System]:
     reports = outside.Reports()
     reports.start()
     running = fleet.Fleet(
-        tmp_path,
+        folder,
         random.Random(),
         outside=f'127.0.0.1:{reports.port}',
+        **shape,
     )
     replicas = [
         outside.Replica(f'i-{service}-{number}', service, running.control)
@@ -297,3 +307,23 @@
         assert len({str(report.counts) for report in taken[window]}) == 1
     figures = [reports[0].counts for reports in taken.values()]
     assert sum(one.get('tenant-1', 0) for one in figures) == begun
+
+
+async def test_a_vm_without_a_disk_sends_its_callers_on(
+    tmp_path: pathlib.Path,
+) -> None:
+    shape = {'members': 4, 'diskless': frozenset((0, 3))}
+    async with run_system(tmp_path, **shape) as system:
+        for number in (0, 3):
+            address = system.fleet.control[number]
+            url = f'http://{address}/api/configuration'
+            body = json.dumps(configuration(10 + number))
+            assert await outside.call(url, 'PUT', body) == 200
+            client = httpclient.AsyncHTTPClient()
+            read = json.loads((await client.fetch(url)).body)
+            assert read['version'] == 10 + number
+        # Replicas that beat only there are known everywhere.
+        for replica in system.replicas:
+            replica.control = [system.fleet.control[0]]
+            assert await replica.beat()
+        assert (await system.ask('/order/1')).code == 200
