Give each request a deadline that travels over every hop

Change: routes and models have timeout_ms, a caller may ask for less with X-Request-Timeout-Ms. Each hop is told what is left. A request whose time is over in the agent's queue proves that it did not run; at a silent service its outcome is unknown; the entry waits 0.4 s longer for the agent's word. The fixed 10 s are gone; its test now asks for the route's own time.

The roles of own deployments log to standard output too, bounded.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -77,17 +77,23 @@
         ),
         flush=True,
     )
-    signal.sigwait({signal.SIGTERM, signal.SIGINT})
+    while True:
+        signal.pause()
+
+
+class Stopped(Exception):
+    """A signal asked the demonstration to stop."""
+
+
+def _stop(number: int, frame: object) -> None:
+    raise Stopped(signal.Signals(number).name)
 
 
 @APP.default
 def run(*, serve: bool = False, folder: pathlib.Path | None = None) -> None:
     """Run the demonstration, or keep serving until a signal comes."""
-    if serve:
-        signal.pthread_sigmask(
-            signal.SIG_BLOCK,
-            {signal.SIGTERM, signal.SIGINT},
-        )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop)
     with tempfile.TemporaryDirectory() as scratch:
         system = cluster.Cluster(folder or pathlib.Path(scratch))
         try:
@@ -96,6 +102,8 @@
                 _serve(system, key)
             else:
                 _show(system, key)
+        except Stopped as stopped:
+            print(f'stopping: {stopped}')
         finally:
             system.stop()
     if not serve:
--- a/cranberryrill/callers/chat.py
+++ b/cranberryrill/callers/chat.py
@@ -13,6 +13,9 @@
 from cranberryrill.relay import relay_pb2
 
 
+TokenLimit = typing.Annotated[int, pydantic.Field(ge=1)]
+
+
 @dataclasses.dataclass(frozen=True)
 class ChatBody:
     """Name the parts of a chat request that the router reads."""
@@ -23,6 +26,8 @@
         pydantic.Field(min_length=1),
     ]
     stream: bool = False
+    max_tokens: TokenLimit | None = None
+    max_completion_tokens: TokenLimit | None = None
 
 
 CHAT_BODY: pydantic.TypeAdapter[ChatBody] = pydantic.TypeAdapter(ChatBody)
@@ -86,6 +91,7 @@
                 first_token_ms=level.first_token_ms,
                 streamed=body.stream,
             ),
+            model.timeout_ms,
         )
 
 
--- a/cranberryrill/callers/claimed.py
+++ b/cranberryrill/callers/claimed.py
@@ -6,7 +6,7 @@
 from cranberryrill.callers import candidates
 from cranberryrill.claims import claiming, claims_pb2, refusals
 from cranberryrill.membership import holding, membership_pb2
-from cranberryrill.relay import connections, dispatching, relay_pb2
+from cranberryrill.relay import connections, deadlines, dispatching, relay_pb2
 from cranberryrill.state import submitting
 
 # Claims that other entries move meanwhile are followed this often.
@@ -25,6 +25,7 @@
         claimer: claiming.Claimer,
         call: relay_pb2.Call,
         pool: candidates.Candidates,
+        deadline: deadlines.Deadline,
     ) -> None:
         self.holder = holder
         self.connections = lent
@@ -33,6 +34,7 @@
         self.call.CopyFrom(call)
         self.call.claimed = True
         self.pool = pool
+        self.deadline = deadline
 
     async def run(
         self,
@@ -76,6 +78,7 @@
             agent,
             claim.request_id,
             self.call,
+            self.deadline,
             first_use=outcome.verdict == Verdict.GRANTED,
         )
         return await dispatch.run(sink)
--- a/cranberryrill/callers/gateway.py
+++ b/cranberryrill/callers/gateway.py
@@ -9,7 +9,13 @@
 from cranberryrill.claims import claiming
 from cranberryrill.limits import limiting
 from cranberryrill.membership import holding, membership_pb2
-from cranberryrill.relay import connections, dispatching, numbers, relay_pb2
+from cranberryrill.relay import (
+    connections,
+    deadlines,
+    dispatching,
+    numbers,
+    relay_pb2,
+)
 from cranberryrill.routing import budget, choosing, scoring
 
 # An agent that refuses is in good health.
@@ -39,11 +45,12 @@
         request_id: str,
         call: relay_pb2.Call,
         sink: dispatching.Sink,
+        deadline: deadlines.Deadline,
     ) -> dispatching.Ended:
         """Run the call at an agent that takes it, within all limits."""
         return await self._within_limits(
             call,
-            lambda: self._run(request_id, call, sink),
+            lambda: self._run(request_id, call, sink, deadline),
         )
 
     async def deliver_claimed(
@@ -52,6 +59,7 @@
         call: relay_pb2.Call,
         idempotency_key: str,
         sink: dispatching.Sink,
+        deadline: deadlines.Deadline,
     ) -> dispatching.Ended:
         """Run the call under its key, or give the key's earlier answer."""
         delivery = claimed.ClaimedDelivery(
@@ -60,6 +68,7 @@
             self.claimer,
             call,
             self._candidates(call),
+            deadline,
         )
         own = claiming.new_claim(call, idempotency_key, request_id)
         return await self._within_limits(
@@ -96,6 +105,7 @@
         request_id: str,
         call: relay_pb2.Call,
         sink: dispatching.Sink,
+        deadline: deadlines.Deadline,
     ) -> dispatching.Ended:
         ended: dispatching.Ended = result.Err(
             failures.NoUpstream(
@@ -115,6 +125,7 @@
                     agent,
                     request_id,
                     call,
+                    deadline,
                 )
                 ended = await self._ask(dispatch, sink)
                 if not _may_go_on(dispatch, ended):
--- a/cranberryrill/callers/handlers.py
+++ b/cranberryrill/callers/handlers.py
@@ -19,7 +19,7 @@
 )
 from cranberryrill.keys import digests
 from cranberryrill.membership import holding
-from cranberryrill.relay import dispatching, relay_pb2
+from cranberryrill.relay import deadlines, dispatching, relay_pb2, timing
 
 LOGGER = logging.getLogger(__name__)
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -52,6 +52,7 @@
         self.delivery: asyncio.Task[dispatching.Ended] | None = None
         self.interruption: failures.Failure | None = None
         self.started = False
+        self.caller_left = False
         self.timer: asyncio.TimerHandle | None = None
 
     def prepare(self) -> None:
@@ -97,19 +98,32 @@
         self.body_arrived()
         self.entry.end(self)
 
-    async def deliver(self, call: relay_pb2.Call) -> None:
-        """Run the call and pass its answer to the caller."""
+    async def deliver(self, call: relay_pb2.Call, timeout_ms: int) -> None:
+        """Run the call and pass its answer to the caller in time."""
         fault = self._find_fault(call)
         if fault is not None:
             self.refuse(fault)
             return
+        timeout = inspecting.shorter_timeout(self.request.headers, timeout_ms)
+        if isinstance(timeout, result.Err):
+            self.refuse(timeout.err_value)
+            return
+        deadline = deadlines.after(
+            timeout.ok_value,
+            clock.monotonic_seconds(),
+        )
         span = tracing.start(
             'entry',
             self.request.headers.get('traceparent', ''),
             self.request_id,
         )
         call.traceparent = tracing.header_of(span)
-        self.delivery = asyncio.create_task(self._delivering(call))
+        self.delivery = asyncio.create_task(self._delivering(call, deadline))
+        overdue = asyncio.get_running_loop().call_later(
+            timeout.ok_value / deadlines.MILLISECONDS_PER_SECOND
+            + timing.DEADLINE_GRACE,
+            self._time_out,
+        )
         self.open_requests.add(self)
         try:
             ended = await self.delivery
@@ -119,6 +133,7 @@
         except (iostream.StreamClosedError, dispatching.CallerLeft):
             return
         finally:
+            overdue.cancel()
             self.open_requests.discard(self)
             span.end()
         if ended.is_ok():
@@ -158,6 +173,7 @@
     def on_connection_close(self) -> None:
         """Stop the work for a caller who left."""
         super().on_connection_close()
+        self.caller_left = True
         self.entry.end(self)
         if self.delivery is not None:
             self.delivery.cancel()
@@ -216,15 +232,31 @@
             self.holder.serving.organisation_of,
         )
 
-    async def _delivering(self, call: relay_pb2.Call) -> dispatching.Ended:
+    def _time_out(self) -> None:
+        ran = failures.Ran.yes if self.started else failures.Ran.unknown
+        self.interrupt(
+            failures.TimedOut('the time for the request is over', ran),
+        )
+
+    async def _delivering(
+        self,
+        call: relay_pb2.Call,
+        deadline: deadlines.Deadline,
+    ) -> dispatching.Ended:
         if self.idempotency_key:
             return await self.gateway.deliver_claimed(
                 self.request_id,
                 call,
                 self.idempotency_key,
                 self,
+                deadline,
             )
-        return await self.gateway.deliver(self.request_id, call, self)
+        return await self.gateway.deliver(
+            self.request_id,
+            call,
+            self,
+            deadline,
+        )
 
     def _streams_events(self) -> bool:
         kind = self._headers.get('Content-Type', '')
--- a/cranberryrill/callers/inspecting.py
+++ b/cranberryrill/callers/inspecting.py
@@ -10,6 +10,7 @@
 from cranberryrill import failures
 from cranberryrill.callers import refusals
 from cranberryrill.keys import digests
+from cranberryrill.relay import deadlines
 
 IDEMPOTENCY_KEY_HEADER = 'Idempotency-Key'
 MAX_IDEMPOTENCY_KEY = 255
@@ -57,6 +58,23 @@
     return result.Ok(key)
 
 
+def shorter_timeout(
+    headers: httputil.HTTPHeaders,
+    timeout_ms: int,
+) -> result.Result[int, failures.MalformedRequest]:
+    """Return the caller's timeout if it is shorter than the route's."""
+    given = headers.get(deadlines.HEADER)
+    if given is None:
+        return result.Ok(timeout_ms)
+    if not given.isascii() or not given.isdigit() or not int(given):
+        return result.Err(
+            failures.MalformedRequest(
+                f'{deadlines.HEADER}: a whole number above 0 is needed',
+            ),
+        )
+    return result.Ok(min(timeout_ms, int(given)))
+
+
 def find_exposed_key(
     request: httputil.HTTPServerRequest,
     passed: abc.Iterable[str],
--- a/cranberryrill/callers/services.py
+++ b/cranberryrill/callers/services.py
@@ -73,4 +73,5 @@
                 idempotent=route.idempotent,
                 first_token_ms=level.first_token_ms,
             ),
+            route.timeout_ms,
         )
--- a/cranberryrill/configuration/document.py
+++ b/cranberryrill/configuration/document.py
@@ -88,6 +88,10 @@
 
     name: Name
     default_class: Name
+    timeout_ms: typing.Annotated[
+        int,
+        pydantic.Field(description='longest answer, milliseconds', gt=0),
+    ] = 600_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,6 +111,10 @@
         bool,
         pydantic.Field(description='whether its calls may be repeated'),
     ] = False
+    timeout_ms: typing.Annotated[
+        int,
+        pydantic.Field(description='final answer within, milliseconds', gt=0),
+    ] = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cranberryrill/logs.py
+++ b/cranberryrill/logs.py
@@ -17,14 +17,8 @@
 LAG_PAUSE = 0.05
 
 
-def configure(level: str, process: str) -> None:
-    """Send all logs of this process to standard error as JSON."""
-    handler = logging.StreamHandler(sys.stderr)
-    _install(handler, level, process)
-
-
-def configure_bounded(level: str, process: str) -> 'BoundedHandler':
-    """Send all logs to standard output, bounded and without blocking."""
+def configure(level: str, process: str) -> 'BoundedHandler':
+    """Send all logs of this process to standard output as JSON."""
     handler = BoundedHandler(sys.stdout.fileno())
     _install(handler, level, process)
     return handler
--- a/cranberryrill/membership/watching.py
+++ b/cranberryrill/membership/watching.py
@@ -5,7 +5,7 @@
 
 from grpclib import server
 
-from cranberryrill import clock, tasks
+from cranberryrill import clock, tasks, transport
 from cranberryrill.configuration import state
 from cranberryrill.membership import (
     directory,
@@ -165,9 +165,9 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            writer.cancel()
-            reader.cancel()
             self.watches.discard(watch)
+            await tasks.drop(writer, transport.CALL_ERRORS)
+            await tasks.drop(reader, transport.CALL_ERRORS)
 
     async def Exchange(
         self,
--- a/cranberryrill/metrics.py
+++ b/cranberryrill/metrics.py
@@ -53,6 +53,11 @@
         Kind.counter,
         'requests answered with this HTTP status',
     ),
+    Definition(
+        'entry.callers_left',
+        Kind.counter,
+        'requests whose caller left before the whole answer',
+    ),
     Definition(
         'entry.request_ms',
         Kind.timer,
--- a/cranberryrill/programs/command.py
+++ b/cranberryrill/programs/command.py
@@ -38,7 +38,7 @@
         output.fail(read.err_value)
     settings = read.ok_value
     signals.unmask()
-    logs.configure(settings.process.log_level, settings.process.name)
+    written = logs.configure(settings.process.log_level, settings.process.name)
     tracing.configure(settings.process.name, settings.process.trace)
     try:
         uvloop.run(_run(role, settings))
@@ -46,6 +46,8 @@
         sys.exit(f'cranberryrill: {role} can not start: {error}')
     except tasks.TaskFailed as error:
         sys.exit(f'cranberryrill: {role} stopped: {error}')
+    finally:
+        written.flush_now()
 
 
 async def _run(role: str, settings: typing.Any) -> None:
--- a/cranberryrill/programs/requests.py
+++ b/cranberryrill/programs/requests.py
@@ -21,8 +21,11 @@
         request_id = getattr(handler, 'request_id', '')
         if not request_id:
             return
-        status = handler.get_status()
         elapsed_ms = handler.request.request_time() * MILLISECONDS_PER_SECOND
+        if getattr(handler, 'caller_left', False):
+            self._record_left(handler, request_id, elapsed_ms)
+            return
+        status = handler.get_status()
         self.sink.incr(f'entry.requests.{status}')
         self.sink.timing('entry.request_ms', elapsed_ms)
         LOGGER.info(
@@ -34,3 +37,21 @@
                 'elapsed_ms': round(elapsed_ms, 1),
             },
         )
+
+    def _record_left(
+        self,
+        handler: web.RequestHandler,
+        request_id: str,
+        elapsed_ms: float,
+    ) -> None:
+        """Record a request whose caller left before its whole answer."""
+        self.sink.incr('entry.callers_left')
+        LOGGER.info(
+            'caller left',
+            extra={
+                'request_id': request_id,
+                'organisation': getattr(handler, 'organisation', ''),
+                'answer_begun': getattr(handler, 'started', False),
+                'elapsed_ms': round(elapsed_ms, 1),
+            },
+        )
--- a/cranberryrill/relay/answers.py
+++ b/cranberryrill/relay/answers.py
@@ -4,8 +4,9 @@
 import dataclasses
 from collections import abc
 
-from cranberryrill.relay import relay_pb2
+from cranberryrill.relay import deadlines, relay_pb2
 
+TIMED_OUT = 'timed_out'
 End = relay_pb2.Final | relay_pb2.Failed | relay_pb2.Refused
 # The upstream is held up while a reader lags behind by this many bytes.
 MAX_UNREAD_BYTES = 1024 * 1024
@@ -45,6 +46,7 @@
         self.idempotent = call.idempotent
         self.claimed = call.claimed
         self.created_at = now
+        self.deadline = deadlines.after(call.timeout_ms, now)
         self.head: relay_pb2.Head | None = None
         # What lies before `base` was read and is no longer held.
         self.base = 0
@@ -137,6 +139,10 @@
         failed = relay_pb2.Failed(code=code, message=message, ran=ran)
         self.finish(failed, now)
 
+    def time_out(self, ran: relay_pb2.Ran, now: float) -> None:
+        """End because the deadline has passed."""
+        self.fail(TIMED_OUT, 'the time for the request is over', ran, now)
+
     def drop_content(self) -> None:
         """Forget what the upstream said, but not whether the request ran."""
         self.base = self.length()
--- a/cranberryrill/relay/dispatching.py
+++ b/cranberryrill/relay/dispatching.py
@@ -11,7 +11,14 @@
 
 from cranberryrill import clock, failures, transport
 from cranberryrill.membership import membership_pb2
-from cranberryrill.relay import connections, relay_grpc, relay_pb2, timing
+from cranberryrill.relay import (
+    answers,
+    connections,
+    deadlines,
+    relay_grpc,
+    relay_pb2,
+    timing,
+)
 
 RunStream = client.Stream[relay_pb2.Upward, relay_pb2.Downward]
 MILLISECONDS_PER_SECOND = 1000
@@ -68,6 +75,7 @@
         agent: membership_pb2.Announcement,
         request_id: str,
         call: relay_pb2.Call,
+        deadline: deadlines.Deadline,
         first_use: bool = True,
     ) -> None:
         self.connections = lent
@@ -76,6 +84,7 @@
         self.call = relay_pb2.Call()
         self.call.CopyFrom(call)
         self.call.incarnation = agent.incarnation
+        self.deadline = deadline
         self.first_use = first_use
         self.progress = Progress(clock.monotonic_seconds())
 
@@ -96,10 +105,17 @@
                 'the agent could not be reached',
                 retry_after_seconds=1,
             )
+        if self.deadline.has_passed(now):
+            return self._timed_out(failures.Ran.unknown)
         if now <= self.progress.heard_at + timing.ATTACH_PERIOD:
             return None
         return self._unknown('contact with the agent was lost')
 
+    def _timed_out(self, ran: failures.Ran) -> failures.Failure:
+        if self.progress.started:
+            ran = failures.Ran.yes
+        return failures.TimedOut('the time for the request is over', ran)
+
     def _unknown(self, message: str) -> failures.Failure:
         if self.progress.started:
             return failures.UpstreamFailed(message, failures.Ran.yes)
@@ -120,6 +136,8 @@
         await asyncio.wait_for(stream.send_request(), timing.STREAM_SILENCE)
         self.progress.sent_attempts += 1
         self.call.offset = self.progress.offset
+        now = clock.monotonic_seconds()
+        self.call.timeout_ms = self.deadline.remaining_ms(now)
         await asyncio.wait_for(
             stream.send_message(self._upward(call=self.call)),
             timing.STREAM_SILENCE,
@@ -230,6 +248,8 @@
 
     def _failed(self, failed: relay_pb2.Failed) -> failures.Failure:
         ran = RAN[failed.ran]
+        if failed.code == answers.TIMED_OUT:
+            return self._timed_out(ran)
         if self.progress.started:
             ran = failures.Ran.yes
         if ran is failures.Ran.unknown:
--- a/cranberryrill/relay/running.py
+++ b/cranberryrill/relay/running.py
@@ -1,9 +1,9 @@
 """Serve the entries: run requests and hand out their answers."""
 
 import asyncio
-import contextlib
 import logging
 import typing
+from collections import abc
 
 import result
 from grpclib import server
@@ -78,8 +78,8 @@
             self.streams -= 1
             answer.readers.discard(reader)
             answer.read_at = clock.monotonic_seconds()
-            await _drop(writing)
-            await _drop(listening)
+            await tasks.drop(writing, transport.CALL_ERRORS)
+            await tasks.drop(listening, transport.CALL_ERRORS)
 
     async def run_expiry(self) -> None:
         """Drop old answers for as long as the process runs."""
@@ -179,13 +179,19 @@
             ticket.call.traceparent,
             answer.request_id,
         )
-        await _first(ticket.running, ticket.evicted, answer.cancelled)
+        await _first(
+            (ticket.running, ticket.evicted, answer.cancelled),
+            answer.deadline.remaining_seconds(clock.monotonic_seconds()),
+        )
         queued.end()
         now = clock.monotonic_seconds()
+        ran = relay_pb2.Ran.YES if answer.sent else relay_pb2.Ran.NO
         if answer.cancelled.is_set():
-            ran = relay_pb2.Ran.YES if ticket.has_run() else relay_pb2.Ran.NO
             answer.fail('cancelled', 'the caller left', ran, now)
             return False
+        if answer.deadline.has_passed(now):
+            answer.time_out(ran, now)
+            return False
         if ticket.evicted.is_set():
             answer.finish(_evicted(), now)
             return False
@@ -223,16 +229,19 @@
             answer.cancel()
 
 
-async def _drop(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError, *transport.CALL_ERRORS):
-        await task
-
-
-async def _first(*events: asyncio.Event) -> None:
+async def _first(
+    events: abc.Iterable[asyncio.Event],
+    seconds: float,
+) -> None:
     waits = {asyncio.create_task(event.wait()) for event in events}
+    # Without a deadline there is no end to the wait.
+    timeout = None if seconds == float('inf') else seconds
     try:
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            waits,
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
     finally:
         for waiting in waits:
             waiting.cancel()
--- a/cranberryrill/relay/timing.py
+++ b/cranberryrill/relay/timing.py
@@ -22,12 +22,12 @@
 UPSTREAM_WATCH = 0.25
 # An upstream that queues and reads a long prompt is silent until its head.
 UPSTREAM_HEAD_TIMEOUT = 120.0
-# A plain service that is silent for this long does not answer any more; longer
-# than any service works, shorter than callers wait for a resend.
-SERVICE_HEAD_TIMEOUT = 10.0
 # A model that streams is never silent for this long between two tokens.
 TOKEN_SILENCE = 1.5
 # A body that is not streamed comes without a pause as long as this.
 BODY_SILENCE = 5.0
+# The agent's own word on a request whose time is over is awaited for this long:
+# it looks at each exchange every 0.25 s.
+DEADLINE_GRACE = 0.4
 # No answer may take longer than this.
 ANSWER_TIMEOUT = 600.0
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -8,7 +8,7 @@
 import pycurl
 from tornado import httputil
 
-from cranberryrill.relay import answers, counting, relay_pb2, timing
+from cranberryrill.relay import answers, counting, deadlines, relay_pb2, timing
 
 LOGGER = logging.getLogger(__name__)
 PRIORITY_HEADER = 'X-Priority'
@@ -75,7 +75,7 @@
         self.stopped = False
         answer.on_read = self.resume
 
-    def headers(self) -> httputil.HTTPHeaders:
+    def headers(self, now: float) -> httputil.HTTPHeaders:
         """Return the headers that the upstream may see."""
         headers = httputil.HTTPHeaders()
         for header in self.call.headers:
@@ -84,6 +84,9 @@
         headers[PRIORITY_HEADER] = str(self.call.tier)
         if self.answer.usage.output_tokens:
             headers[RESUME_HEADER] = str(self.answer.usage.output_tokens)
+        timeout_ms = self.answer.deadline.remaining_ms(now)
+        if timeout_ms:
+            headers[deadlines.HEADER] = str(timeout_ms)
         if self.call.traceparent:
             headers['traceparent'] = self.call.traceparent
         return headers
@@ -119,6 +122,9 @@
         if self.received > self.heard_bytes or self.paused:
             self.heard_bytes = self.received
             self.heard_at = now
+        if self.answer.deadline.has_passed(now):
+            self.answer.time_out(self._ran(0), now)
+            self.abort('the time for the request is over', now)
         if now > self.heard_at + self._silence_limit():
             self.abort('the upstream fell silent', now)
         if self.answer.cancelled.is_set():
@@ -247,9 +253,7 @@
 
     def _silence_limit(self) -> float:
         if self.answer.head is None:
-            if self.call.is_model:
-                return timing.UPSTREAM_HEAD_TIMEOUT
-            return timing.SERVICE_HEAD_TIMEOUT
+            return timing.UPSTREAM_HEAD_TIMEOUT
         if self.call.streamed:
             return timing.TOKEN_SILENCE
         return timing.BODY_SILENCE
--- a/cranberryrill/relay/upstream.py
+++ b/cranberryrill/relay/upstream.py
@@ -62,7 +62,7 @@
         return httpclient.HTTPRequest(
             self.settings.base_url + call.path,
             method=call.method,
-            headers=exchange.headers(),
+            headers=exchange.headers(clock.monotonic_seconds()),
             body=call.body or None,
             allow_nonstandard_methods=True,
             connect_timeout=timing.UPSTREAM_CONNECT_TIMEOUT,
--- a/cranberryrill/tasks.py
+++ b/cranberryrill/tasks.py
@@ -59,6 +59,23 @@
             self.failed.set()
 
 
+async def drop(
+    task: asyncio.Task[typing.Any],
+    expected: tuple[type[BaseException], ...],
+) -> None:
+    """Cancel `task` and wait for its end, which may be one that is expected."""
+    task.cancel()
+    try:
+        await task
+    except asyncio.CancelledError:
+        return
+    except expected as error:
+        LOGGER.debug(
+            'task dropped',
+            extra={'task': task.get_name(), 'cause': str(error)},
+        )
+
+
 async def wait_event(event: asyncio.Event, seconds: float) -> bool:
     """Wait for `event`, clear it, and say whether it came in time."""
     try:
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -13,7 +13,7 @@
 from cranberryrill.callers import chat, receiving, services, standing
 from cranberryrill.configuration import document, serving
 from cranberryrill.keys import digests
-from cranberryrill.relay import dispatching, numbers, relay_pb2
+from cranberryrill.relay import deadlines, dispatching, numbers, relay_pb2
 from cranberryrill.state import commands_pb2
 
 HOST = '127.0.0.1'
@@ -72,6 +72,7 @@
         request_id: str,
         call: relay_pb2.Call,
         sink: dispatching.Sink,
+        deadline: deadlines.Deadline,
     ) -> dispatching.Ended:
         self.calls.append(call)
         await sink.start(relay_pb2.Head(status=201))
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -10,7 +10,7 @@
 from cranberryrill.callers import gateway
 from cranberryrill.configuration import serving
 from cranberryrill.membership import membership_pb2
-from cranberryrill.relay import dispatching, relay_pb2
+from cranberryrill.relay import deadlines, dispatching, relay_pb2
 from cranberryrill.routing import budget, choosing
 
 NO = failures.Ran.no
@@ -97,7 +97,7 @@
     asking = gateway.Gateway(holder, dialer, router, claimer)
     sink = Sink()
     call = relay_pb2.Call(target='wobble', idempotent=idempotent)
-    await asking.deliver('req-1', call, sink)
+    await asking.deliver('req-1', call, sink, deadlines.Deadline())
     assert 2 - len(ended) == asked
     assert sink.heads <= 1
 
@@ -116,6 +116,6 @@
     asking = gateway.Gateway(holder, dialer, router, claimer)
     call = relay_pb2.Call(target='wobble', idempotent=True)
     for _ in range(40):
-        await asking.deliver('req-1', call, Sink())
+        await asking.deliver('req-1', call, Sink(), deadlines.Deadline())
     earned = 40 * budget.RETRY_SHARE
     assert 99 - len(ended) <= 40 + budget.MOST_SAVED + earned
--- a/tests/callers/test_inspecting.py
+++ b/tests/callers/test_inspecting.py
@@ -82,3 +82,20 @@
     headers.add('Idempotency-Key', 'one')
     headers.add('Idempotency-Key', 'two')
     assert inspecting.idempotency_key(headers).is_err()
+
+
+@pytest.mark.parametrize(
+    ('given', 'wanted'),
+    [(None, 3000), ('500', 500), ('9000', 3000)],
+)
+def test_the_shorter_timeout_counts(given: str | None, wanted: int) -> None:
+    headers = httputil.HTTPHeaders()
+    if given is not None:
+        headers['X-Request-Timeout-Ms'] = given
+    assert inspecting.shorter_timeout(headers, 3000).unwrap() == wanted
+
+
+@pytest.mark.parametrize('given', ['0', '-5', 'soon', '1.5', ''])
+def test_a_timeout_that_is_no_number_is_refused(given: str) -> None:
+    headers = httputil.HTTPHeaders({'X-Request-Timeout-Ms': given})
+    assert inspecting.shorter_timeout(headers, 3000).is_err()
--- a/tests/programs/test_metrics.py
+++ b/tests/programs/test_metrics.py
@@ -88,21 +88,49 @@
 def request_id(system: Measured) -> str:
     """Return the id of a request that was answered."""
     key = system.issue_key('clinics')
+    leaving = system.issue_key('installers')
     url = f'{system.entry_url("entry")}/v1'
-    web.wait_until(
-        lambda: web.request(f'{url}/models', key=key).status == 200,
-        'the key',
-    )
+    for issued in (key, leaving):
+        wait_known(url, issued)
     body = {
         'model': firms.MODEL,
         'messages': [{'role': 'user', 'content': 'it wobbles'}],
         'max_tokens': 3,
     }
+    leave_early(system, leaving)
     reply = web.request(f'{url}/chat/completions', 'POST', body, key)
     assert reply.status == 200
     return reply.headers['X-Request-Id']
 
 
+def wait_known(url: str, key: str) -> None:
+    web.wait_until(
+        lambda: web.request(f'{url}/models', key=key).status == 200,
+        'the key',
+    )
+
+
+def leave_early(system: Measured, key: str) -> None:
+    """Ask for a long answer and close the connection at its first byte."""
+    body = json.dumps(
+        {
+            'model': firms.MODEL,
+            'messages': [{'role': 'user', 'content': 'it wobbles'}],
+            'max_tokens': 1000,
+            'stream': True,
+        },
+    ).encode()
+    host, _, port = system.entry_url('entry').rpartition('/')[2].partition(':')
+    with socket.create_connection((host, int(port)), SECONDS) as caller:
+        head = (
+            'POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n'
+            f'Authorization: Bearer {key}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        caller.sendall(head.encode() + body)
+        caller.recv(1)
+
+
 def log_lines(system: Measured, name: str) -> list[dict[str, typing.Any]]:
     text = system.processes[name].log.read_text()
     # What follows the last line's end is still being written.
@@ -132,6 +160,20 @@
     ]
 
 
+def test_a_caller_who_left_is_not_logged_as_answered(
+    system: Measured,
+    request_id: str,
+) -> None:
+    def left() -> list[dict[str, typing.Any]]:
+        lines = log_lines(system, 'entry')
+        return [one for one in lines if one['message'] == 'caller left']
+
+    known = web.wait_until(left, 'the line', SECONDS)
+    assert known[0]['answer_begun']
+    assert known[0]['organisation'] == 'installers'
+    assert not answered_lines(system, known[0]['request_id'])
+
+
 def test_answered_request_is_logged(
     system: Measured,
     request_id: str,
@@ -153,14 +195,18 @@
     request_id: str,
 ) -> None:
     url = f'{system.admin_url()}/usage?window=1'
-    lines = web.wait_until(
-        lambda: web.request(url, key=cluster.TOKEN).json()['lines'],
-        'the usage',
-        SECONDS,
-    )
-    assert [line['organisation'] for line in lines] == ['clinics']
-    assert lines[0]['requests'] == 1
-    assert lines[0]['output_tokens'] == 3
+
+    def shown() -> list[dict[str, typing.Any]]:
+        lines = web.request(url, key=cluster.TOKEN).json()['lines']
+        named = {line['organisation'] for line in lines}
+        return lines if 'clinics' in named else []
+
+    lines = web.wait_until(shown, 'the usage', SECONDS)
+    # The other organisation's caller left in the middle of its answer.
+    known = {line['organisation']: line for line in lines}
+    assert known['clinics']['requests'] == 1
+    assert known['clinics']['output_tokens'] == 3
+    assert set(known) <= {'clinics', 'installers'}
 
 
 def test_every_log_line_is_an_object(
--- a/tests/relay/test_running.py
+++ b/tests/relay/test_running.py
@@ -204,3 +204,18 @@
     agent.target.go.set()
     assert (await first)[-1].HasField('final')
     assert len(agent.target.calls) == 1
+
+
+async def test_a_request_that_waits_past_its_deadline_never_runs(
+    named: numbers.Numbers,
+) -> None:
+    agent = Agent(slots=1)
+    first = asyncio.create_task(ask(agent, named.new_request_id()))
+    while not agent.target.calls:
+        await asyncio.sleep(0.01)
+    late = await ask(agent, named.new_request_id(), timeout_ms=50)
+    assert late[-1].failed.code == answers.TIMED_OUT
+    assert late[-1].failed.ran == relay_pb2.Ran.NO
+    agent.target.go.set()
+    await first
+    assert len(agent.target.calls) == 1
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -46,22 +46,30 @@
     assert taken.answer.end is None
 
 
-def silent_exchange(*, is_model: bool) -> transfer.Transfer:
-    call = relay_pb2.Call(is_model=is_model, claimed=True)
+def silent_exchange(*, is_model: bool, timeout_ms: int) -> transfer.Transfer:
+    call = relay_pb2.Call(
+        is_model=is_model,
+        claimed=True,
+        timeout_ms=timeout_ms,
+    )
     answer = answers.Answer('req-1', call, 0)
     return transfer.Transfer(call, answer, asyncio.Event(), 0)
 
 
 def test_a_service_that_never_answers_is_given_up_by_its_route() -> None:
-    taken = silent_exchange(is_model=False)
-    taken.watch(9)
+    taken = silent_exchange(is_model=False, timeout_ms=3000)
+    assert taken.headers(1)['X-Request-Timeout-Ms'] == '2000'
+    taken.watch(2.9)
     assert taken.answer.end is None
-    # A caller that resends for half a minute gets to know it in time.
-    taken.watch(11)
-    assert isinstance(taken.answer.end, relay_pb2.Failed)
+    taken.watch(3)
+    ended = taken.answer.end
+    assert isinstance(ended, relay_pb2.Failed)
+    assert ended.code == answers.TIMED_OUT
+    # It may have run: nobody knows what the service does in its silence.
+    assert ended.ran == relay_pb2.Ran.UNKNOWN
 
 
 def test_a_model_may_be_silent_while_it_queues() -> None:
-    taken = silent_exchange(is_model=True)
+    taken = silent_exchange(is_model=True, timeout_ms=600_000)
     taken.watch(60)
     assert taken.answer.end is None
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -1,6 +1,7 @@
 """Serve requests from end to end."""
 
 import json
+import time
 
 import pytest
 
@@ -58,6 +59,26 @@
     assert len(system.ledger('desk')) == 1
 
 
+def test_a_silent_service_is_given_up_at_the_deadline(
+    system: cluster.Cluster,
+    key: str,
+) -> None:
+    wait_known(system, key)
+    url = f'{system.entry_url("entry-0")}/orders/feet'
+    asked_at = time.monotonic()
+    reply = web.request(
+        url,
+        'POST',
+        {'delay_seconds': 20},
+        key,
+        {'X-Request-Timeout-Ms': '1000', 'Idempotency-Key': 'silent-1'},
+    )
+    assert time.monotonic() - asked_at < 2
+    assert reply.status == 504
+    assert reply.json()['error']['code'] == 'timed_out'
+    assert reply.json()['error']['ran'] == 'unknown'
+
+
 def test_upstream_sees_no_key(system: cluster.Cluster, key: str) -> None:
     wait_known(system, key)
     url = f'{system.entry_url("entry-0")}/v1/chat/completions'
@@ -70,6 +91,8 @@
     [
         (b'{', 400, 'malformed_request'),
         (b'{"model": "wobble", "messages": []}', 400, 'malformed_request'),
+        (chat(max_tokens=-1), 400, 'malformed_request'),
+        (chat(max_tokens=0), 400, 'malformed_request'),
         (chat(model='nothing'), 404, 'unknown_model'),
     ],
 )
