Harm links between processes, clocks and disks in the fleet's soak

Cause: the soak harmed only processes and the links to replicas; faults came one after another, and a fixed 5 s stood for a member's readmission.

Change: a link stands before each VM's port between processes (setting bind_host: where that port listens, if not at the address that others dial); harm also reaches open connections; the wall clock and syncs of the real programs are harmed by a module on their path; signals overlap; two faults at a time; the next disk is lost only after the last member votes again. The traffic document is written in one place for tests and soak.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,6 +23,10 @@
 CONTROL = 10
 WINDOW_SECONDS = 2
 SEEDS = 3
+# A VM's address behind its link differs from the other by this number.
+LINKED = 60
+ENTRIES = 101
+INJECTED = ROOT / 'bench' / 'injected'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +37,12 @@
     host: str
     role: str
     has_disk: bool = True
+    # Where the ports between processes listen if a link stands before them.
+    bind_host: str = ''
+
+    def internal_port(self, port: int) -> int:
+        """Return the port between processes that this role listens at."""
+        return port if self.role == 'control' else port + 1
 
     def settings(
         self,
@@ -64,6 +74,8 @@
                 'address': outside,
                 'duties': ['usage_reporting'],
             }
+        if self.bind_host:
+            known['bind_host'] = self.bind_host
         if self.role == 'control':
             if self.has_disk:
                 known['data_folder'] = str(folder / f'data-{self.name}')
@@ -85,6 +97,7 @@
         entries: int = 2,
         outside: str = '',
         diskless: abc.Collection[int] = (),
+        linked: bool = False,
     ) -> None:
         self.folder = folder
         self.outside = outside
@@ -96,11 +109,19 @@
                 f'{network}.{number + 1}',
                 'control',
                 number not in diskless,
+                f'{network}.{number + LINKED}' if linked else '',
             )
             for number in range(members)
         ]
         self.entries = [
-            Vm(f'entry-{number}', f'{network}.{number + 101}', 'entry')
+            Vm(
+                f'entry-{number}',
+                f'{network}.{number + ENTRIES}',
+                'entry',
+                bind_host=f'{network}.{number + ENTRIES + LINKED}'
+                if linked
+                else '',
+            )
             for number in range(entries)
         ]
         self.seeds = self.members[:SEEDS]
@@ -141,11 +162,27 @@
             vm.name,
             [sys.executable, str(ROOT / 'platform' / 'run.py'), vm.role],
             self.folder / f'{vm.name}.log',
-            {**os.environ, 'CRANBERRYRILL_BOOT': str(path)},
+            {
+                **os.environ,
+                'CRANBERRYRILL_BOOT': str(path),
+                'PYTHONPATH': str(INJECTED),
+                'SOAK_FAULTS': str(self.faults(vm)),
+            },
         )
         process.start()
         self.running[vm.name] = process
 
+    def faults(self, vm: Vm) -> pathlib.Path:
+        """Return the folder whose files harm a VM's clock and disk."""
+        folder = self.folder / f'faults-{vm.name}'
+        folder.mkdir(exist_ok=True)
+        return folder
+
+    def log(self, vm: Vm) -> str:
+        """Return what a VM's processes have logged."""
+        path = self.folder / f'{vm.name}.log'
+        return path.read_text(errors='replace') if path.exists() else ''
+
     def wipe(self, vm: Vm) -> None:
         """Let a stopped member lose its disk."""
         shutil.rmtree(self.folder / f'data-{vm.name}', ignore_errors=True)
--- a/bench/unreliable.py
+++ b/bench/unreliable.py
@@ -1,93 +1,99 @@
-"""Stand between the system and a replica, and harm what passes."""
+"""Stand between two programs, and harm what passes."""
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
 import random
 
 CHUNK_BYTES = 4096
+HELD_PERIOD = 0.05
 
 
 class Harm(enum.Enum):
-    """Say what happens to connections that are opened now."""
+    """Say what happens to a link now, also to its open connections."""
 
     none = 'none'
     delay = 'delay'
-    # The connection is reset once the request has passed.
+    # A connection is reset as soon as it carries an answer.
     reset = 'reset'
-    # Answers don't come back; requests pass.
+    # Answers are held back; requests pass.
     one_way = 'one_way'
     # Nothing passes, and nobody is told.
     silence = 'silence'
 
 
-@dataclasses.dataclass
 class Link:
-    """Forward connections to one port, with whatever harm is set."""
+    """Forward connections to one address, with whatever harm is set."""
 
-    target_port: int
-    rng: random.Random
-    harm: Harm = Harm.none
-    delay_seconds: float = 0.2
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        rng: random.Random,
+        delay_seconds: float = 0.2,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.rng = rng
+        self.harm = Harm.none
+        self.delay_seconds = delay_seconds
 
-    async def start(self) -> asyncio.Server:
-        """Listen on a port that is free."""
-        return await asyncio.start_server(self.serve, '127.0.0.1', 0)
+    async def start(self, host: str = '127.0.0.1', port: int = 0) -> int:
+        """Listen, on a port that is free if none is named; return it."""
+        server = await asyncio.start_server(self.serve, host, port)
+        return int(server.sockets[0].getsockname()[1])
 
     async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Forward one connection."""
-        harm = self.harm
-        if harm is Harm.silence:
-            await reader.read()
-            writer.close()
-            return
+        """Forward one connection until either end closes it."""
         try:
-            there = await asyncio.open_connection('127.0.0.1', self.target_port)
+            there = await asyncio.open_connection(self.host, self.port)
         except OSError:
             writer.transport.abort()
             return
-        sending = asyncio.create_task(self._forward(reader, there[1], harm))
-        answering = asyncio.create_task(self._answer(there[0], writer, harm))
-        with contextlib.suppress(OSError):
-            await asyncio.wait(
-                {sending, answering},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        for task in (sending, answering):
-            task.cancel()
-        there[1].close()
-        writer.close()
-
-    async def _forward(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        harm: Harm,
-    ) -> None:
-        while content := await reader.read(CHUNK_BYTES):
-            if harm is Harm.delay:
-                await asyncio.sleep(self.rng.random() * self.delay_seconds)
-            writer.write(content)
-            await writer.drain()
+        pumps = [
+            asyncio.create_task(self._pump(reader, there[1], answers=False)),
+            asyncio.create_task(self._pump(there[0], writer, answers=True)),
+        ]
+        # The soak ends with its links still open.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        broken = self.harm is Harm.reset
+        for pump in pumps:
+            pump.cancel()
+        await asyncio.gather(*pumps, return_exceptions=True)
+        for end in (writer, there[1]):
+            if broken:
+                end.transport.abort()
+            end.close()
 
-    async def _answer(
+    async def _pump(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        harm: Harm,
+        *,
+        answers: bool,
     ) -> None:
-        while content := await reader.read(CHUNK_BYTES):
-            if harm is Harm.reset:
-                writer.transport.abort()
-                return
-            if harm is not Harm.one_way:
+        with contextlib.suppress(OSError):
+            while content := await reader.read(CHUNK_BYTES):
+                if answers and self.harm is Harm.reset:
+                    return
+                await self._hold(answers=answers)
                 writer.write(content)
                 await writer.drain()
-        if harm is Harm.one_way:
-            # The caller learns nothing of the end either.
-            await asyncio.Event().wait()
+            # The end of a connection is lost with the rest.
+            await self._hold(answers=answers)
+
+    async def _hold(self, *, answers: bool) -> None:
+        if self.harm is Harm.delay:
+            await asyncio.sleep(self.rng.random() * self.delay_seconds)
+        while self._is_held(answers=answers):
+            await asyncio.sleep(HELD_PERIOD)
+
+    def _is_held(self, *, answers: bool) -> bool:
+        if self.harm is Harm.silence:
+            return True
+        return answers and self.harm is Harm.one_way
--- a/cranberryrill/programs/core.py
+++ b/cranberryrill/programs/core.py
@@ -85,7 +85,7 @@
         LOGGER.info('starting', extra={'role': 'control'})
         listening = await transport.listen(
             self.replicated.services(),
-            transport.Address(settings.host, settings.control_port),
+            transport.Address(settings.internal_host, settings.control_port),
             None,
         )
         self.replicated.start(self.group)
--- a/cranberryrill/programs/redirector.py
+++ b/cranberryrill/programs/redirector.py
@@ -41,7 +41,7 @@
         LOGGER.info('starting', extra={'role': 'redirector'})
         listening = await transport.listen(
             [probing.DisklessService()],
-            transport.Address(settings.host, settings.control_port),
+            transport.Address(settings.internal_host, settings.control_port),
             None,
         )
         self.prober.start()
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -110,7 +110,9 @@
         LOGGER.info('starting', extra={'role': 'entry'})
         sharing_loads = await transport.listen(
             [sharing.LoadService(self.dispatcher.pool)],
-            transport.Address(settings.host, settings.internal_ports[0] + 1),
+            transport.Address(
+                settings.internal_host, settings.internal_ports[0] + 1
+            ),
             None,
         )
         self.group.start(self.holder.run(), 'holder')
--- a/cranberryrill/settings/fleet.py
+++ b/cranberryrill/settings/fleet.py
@@ -100,6 +100,10 @@
             pattern='^network$',
         ),
     ]
+    bind_host: typing.Annotated[
+        str | None,
+        pydantic.Field(description='where internal ports listen, if not host'),
+    ] = None
     founds: typing.Annotated[
         bool,
         pydantic.Field(description='the whole system starts for once'),
@@ -142,6 +146,11 @@
         pydantic.Field(description='port of the metrics page; 0: none', ge=0),
     ] = 0
 
+    @property
+    def internal_host(self) -> str:
+        """Return where the ports between processes listen."""
+        return self.bind_host or self.host
+
     @property
     def control_port(self) -> int:
         """Return the port at which control members serve the others."""
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -13,7 +13,7 @@
 import pytest
 from tornado import httpclient
 
-from bench import fleet
+from bench import fleet, fleet_traffic
 from standins import fleet as outside
 
 START_SECONDS = 20.0
@@ -21,58 +21,6 @@
 REVOCATION_SECONDS = 5.0
 
 
-def configuration(
-    version: int,
-    *,
-    keys: tuple[str, ...] = ('key-1', 'key-2'),
-) -> dict[str, typing.Any]:
-    common = {
-        'host': 'a.example',
-        'timeoutMs': 4000,
-        'targetLatencyMs': 500,
-        'priority': 1,
-        'allowAnonymous': False,
-    }
-    return {
-        'version': version,
-        'routes': [
-            {
-                **common,
-                'name': 'stream',
-                'pathPrefix': '/stream/',
-                'kind': 'streaming',
-                'service': 'model',
-                'maxAttempts': 2,
-                'resumeStreams': True,
-                'gapAimMs': 200,
-            },
-            {
-                **common,
-                'name': 'order',
-                'pathPrefix': '/order/',
-                'kind': 'unsafe',
-                'service': 'desk',
-                'maxAttempts': 1,
-            },
-        ],
-        'services': [
-            {
-                'name': 'model',
-                'healthCheckPath': '/health',
-                'maxConnections': 50,
-                'engine': {'slots': 8, 'kvCapacityTokens': 1000},
-            },
-            {
-                'name': 'desk',
-                'healthCheckPath': '/health',
-                'maxConnections': 50,
-            },
-        ],
-        'limits': {},
-        'tenants': [{'name': 'tenant-1', 'apiKeys': list(keys)}],
-    }
-
-
 @dataclasses.dataclass
 class System:
     """A running fleet with its stand-ins."""
@@ -171,7 +119,7 @@
             beating.append(asyncio.create_task(replica.run_heartbeats()))
         made = System(running, replicas, reports)
         await made.until(
-            lambda: is_put(made, configuration(3)),
+            lambda: is_put(made, fleet_traffic.configuration(3)),
             START_SECONDS,
         )
         await made.until(made.is_ready, START_SECONDS)
@@ -209,21 +157,23 @@
 async def test_withdrawn_key_stops_and_invalid_changes_nothing(
     system: System,
 ) -> None:
-    invalid = configuration(9)
+    invalid = fleet_traffic.configuration(9)
     invalid['routes'][0]['service'] = 'none'
     assert await system.put(invalid) == 400
-    assert await system.put(configuration(5, keys=('key-2',))) == 200
+    assert (
+        await system.put(fleet_traffic.configuration(5, keys=('key-2',))) == 200
+    )
     await asyncio.sleep(IN_FORCE_SECONDS)
     for entry in range(2):
         assert (await system.ask('/order/1', entry)).code == 401
         other = await system.ask('/order/1', entry, key='key-2')
         assert other.code == 200
     # An older version is acknowledged and changes nothing.
-    assert await system.put(configuration(4)) == 200
+    assert await system.put(fleet_traffic.configuration(4)) == 200
     url = f'http://{system.fleet.control[0]}/api/configuration'
     client = httpclient.AsyncHTTPClient()
     read = json.loads((await client.fetch(url)).body)
-    assert read == configuration(5, keys=('key-2',))
+    assert read == fleet_traffic.configuration(5, keys=('key-2',))
 
 
 async def test_leaving_replica_gets_nothing_new(system: System) -> None:
@@ -245,14 +195,14 @@
     system.fleet.wipe(first)
     system.fleet.start(first)
     await system.until(
-        lambda: is_put(system, configuration(6)),
+        lambda: is_put(system, fleet_traffic.configuration(6)),
         START_SECONDS,
     )
     await asyncio.sleep(IN_FORCE_SECONDS * 2)
     # The member that lost its disk counts again: another one may be lost.
     system.fleet.running[others[0].name].kill()
     await system.until(
-        lambda: is_put(system, configuration(7)),
+        lambda: is_put(system, fleet_traffic.configuration(7)),
         START_SECONDS,
     )
     for vm in system.fleet.members:
@@ -317,7 +267,7 @@
         for number in (0, 3):
             address = system.fleet.control[number]
             url = f'http://{address}/api/configuration'
-            body = json.dumps(configuration(10 + number))
+            body = json.dumps(fleet_traffic.configuration(10 + number))
             assert await outside.call(url, 'PUT', body) == 200
             client = httpclient.AsyncHTTPClient()
             read = json.loads((await client.fetch(url)).body)
--- a/tests/system/test_fleet_soak.py
+++ b/tests/system/test_fleet_soak.py
@@ -3,7 +3,7 @@
 import pathlib
 import random
 
-from bench import soak_fleet
+from bench import soak_fleet, soak_ledger
 
 SECONDS = 8
 
@@ -15,4 +15,4 @@
     assert not ledger.broken, f'seed {seed}'
     assert sum(ledger.faults.values()) > 1, f'seed {seed}'
     statuses = list(ledger.answers.values())
-    assert statuses.count(soak_fleet.OK) > len(statuses) / 2, f'seed {seed}'
+    assert statuses.count(soak_ledger.OK) > len(statuses) / 2, f'seed {seed}'
