Count the silence of votes from the lock of the data folder

A voter waited 1.02 s from the end of its own start, then up to 0.6 s at random.

Ruled out: leaving the wait out if every voter of the group answers (safe while the group doesn't change; a voter that was just added and isn't known to the others could still hold a lease); a shorter lease (regions lie 0.15 s apart in the target).

Members that start alike stand in the order of their names, 0.1 s apart; one that lost waits 0.05 to 0.2 s, where it stood again at once.

--- a/cranberryrill/programs/core.py
+++ b/cranberryrill/programs/core.py
@@ -13,7 +13,7 @@
 from cranberryrill.forwarding import counting
 from cranberryrill.programs import recovering, replicating, running
 from cranberryrill.registry import registry_pb2
-from cranberryrill.replication import compacting, files, voters
+from cranberryrill.replication import compacting, files, folder_lock, voters
 from cranberryrill.settings import fleet
 from cranberryrill.traffic import publishing
 from cranberryrill.usage import clock_reporting
@@ -53,6 +53,7 @@
         settings: fleet.FleetSettings,
         dialect: Dialect,
         folder: pathlib.Path,
+        lock: folder_lock.FolderLock | None = None,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
@@ -60,7 +61,7 @@
         self.duties = tasks.TaskGroup()
         dialer = transport.Dialer(None)
         self.replicated = replicating.Replicated(
-            _place_of(settings, folder),
+            _place_of(settings, folder, lock),
             dialer,
             BOUNDS,
         )
@@ -82,7 +83,14 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         settings = self.settings
-        LOGGER.info('starting', extra={'role': 'control'})
+        locked_for = clock.monotonic_seconds() - self.replicated.locked_since
+        LOGGER.info(
+            'starting',
+            extra={
+                'role': 'control',
+                'locked_ms': round(locked_for * MILLISECONDS_PER_SECOND),
+            },
+        )
         listening = await transport.listen(
             self.replicated.services(),
             transport.Address(settings.internal_host, settings.control_port),
@@ -176,12 +184,15 @@
         self,
         settings: fleet.FleetSettings,
         dialect: Dialect,
+        lock: folder_lock.FolderLock | None = None,
     ) -> None:
         if settings.data_folder is None:
             raise DataFolderMissing(settings.name)
         self.settings = settings
         self.dialect = dialect
         self.folder = settings.data_folder
+        # Only the first start may use it; the folder is given up in between.
+        self.lock = lock
         self.core: Core | None = None
 
     async def run(self) -> None:
@@ -206,7 +217,9 @@
             self.core.reload(settings)
 
     async def _serve(self) -> None:
-        self.core = Core(self.settings, self.dialect, self.folder)
+        lock = self.lock
+        self.lock = None
+        self.core = Core(self.settings, self.dialect, self.folder, lock)
         await self.core.run()
 
     def _is_disk_failure(self, error: Exception) -> bool:
@@ -231,6 +244,7 @@
 def _place_of(
     settings: fleet.FleetSettings,
     folder: pathlib.Path,
+    lock: folder_lock.FolderLock | None,
 ) -> replicating.Place:
     others = {
         host: transport.Address(host, settings.control_port)
@@ -246,4 +260,5 @@
         fixed=False,
         founding_members=settings.seed_hosts if settings.founds else (),
         heartbeat_seconds=settings.heartbeat_ms / MILLISECONDS_PER_SECOND,
+        lock=lock,
     )
--- a/cranberryrill/programs/replicating.py
+++ b/cranberryrill/programs/replicating.py
@@ -14,6 +14,7 @@
     admitting,
     compacting,
     electing,
+    folder_lock,
     founding,
     installing,
     leading,
@@ -44,6 +45,8 @@
     # Who may found the group; nobody where it was founded before.
     founding_members: tuple[str, ...] | None = None
     heartbeat_seconds: float = 1.2
+    # Taken on the data folder before the rest of the program was loaded.
+    lock: folder_lock.FolderLock | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,6 +120,11 @@
             self.roster,
         )
 
+    @property
+    def locked_since(self) -> float:
+        """Return since when this process has held its data folder."""
+        return self.member.store.disk.lock.since
+
     def services(self) -> list[transport.Servable]:
         """Return what other processes may call."""
         return [
@@ -168,10 +176,11 @@
             self.clock_usage,
             self.orders,
         ]
+        kept = store.Store(place.data_folder, place.lock)
         return member.Member(
             place.name,
             tuple(place.others),
-            store.Store(place.data_folder),
+            kept,
             machine.Machine(slices),
-            clock.monotonic_seconds(),
+            kept.disk.lock.since,
         )
--- a/cranberryrill/replication/disk.py
+++ b/cranberryrill/replication/disk.py
@@ -6,18 +6,23 @@
 import typing
 from collections import abc
 
-from cranberryrill.replication import files
-
-LOCK_NAME = 'lock'
+from cranberryrill.replication import files, folder_lock
 
 
 class Disk:
     """Own one data folder; only one process at a time can."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        lock: folder_lock.FolderLock | None = None,
+    ) -> None:
         files.make_folder(folder)
         self.folder = folder
-        self.lock = files.hold(folder / LOCK_NAME)
+        held = lock or folder_lock.take(folder)
+        if held is None:
+            raise files.FolderInUse(folder)
+        self.lock = held
         self.failure: files.StorageFailure | None = None
         self.failed = asyncio.Event()
 
@@ -50,4 +55,4 @@
 
     def close(self) -> None:
         """Give the folder up."""
-        self.lock.close()
+        self.lock.stream.close()
--- a/cranberryrill/replication/electing.py
+++ b/cranberryrill/replication/electing.py
@@ -39,14 +39,31 @@
                 timing.ELECTION_TIMEOUT_MOST,
             )
             began_at = clock.monotonic_seconds()
-            # After a start nobody was heard of, and the members start alike.
-            offset = silence - timing.ELECTION_TIMEOUT_LEAST
+            offset = self.start_offset()
             while not self.is_due(clock.monotonic_seconds(), silence, offset):
                 await asyncio.sleep(timing.ELECTION_POLL)
                 if clock.monotonic_seconds() >= began_at + silence:
                     break
             else:
                 await self.stand()
+                # Whoever stood at the same time should not do so again.
+                await asyncio.sleep(
+                    self.rng.uniform(
+                        timing.ELECTION_POLL,
+                        timing.ELECTION_RETRY_MOST,
+                    ),
+                )
+
+    def start_offset(self) -> float:
+        """Return how much longer than the lease to wait after a start.
+
+        After a loss of power the members start alike; the first in the order
+        of their names stands first.
+        """
+        names = sorted(groups.identities(self.member.group))
+        if self.member.name not in names:
+            return 0
+        return names.index(self.member.name) * timing.ELECTION_STEP
 
     def is_due(
         self,
--- a/cranberryrill/replication/files.py
+++ b/cranberryrill/replication/files.py
@@ -1,10 +1,8 @@
 """Write small files so that they survive a crash, or fail with a type."""
 
-import fcntl
 import os
 import pathlib
 import struct
-import typing
 from collections import abc
 
 import crc32c
@@ -116,16 +114,5 @@
     sync_folder(folder.parent)
 
 
-def hold(path: pathlib.Path) -> typing.BinaryIO:
-    """Lock the file at `path` for as long as the stream is open."""
-    stream = path.open('ab')
-    try:
-        fcntl.flock(stream.fileno(), fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        stream.close()
-        raise FolderInUse(path.parent) from None
-    return stream
-
-
 def _length_sum(length: int) -> int:
     return int(crc32c.crc32c(LENGTH.pack(length)))
--- a/cranberryrill/replication/store.py
+++ b/cranberryrill/replication/store.py
@@ -11,6 +11,7 @@
 from cranberryrill.replication import (
     disk,
     files,
+    folder_lock,
     log,
     replication_pb2,
     snapshots,
@@ -30,9 +31,13 @@
     write, and `files.CorruptRecord` when what it holds is damaged.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        lock: folder_lock.FolderLock | None = None,
+    ) -> None:
         self.folder = folder
-        self.disk = disk.Disk(folder)
+        self.disk = disk.Disk(folder, lock)
         self.path = folder / LOG_NAME
         self.ballot = self._read_ballot()
         self.snapshots = snapshots.Snapshots(self.disk)
--- a/cranberryrill/replication/timing.py
+++ b/cranberryrill/replication/timing.py
@@ -10,6 +10,11 @@
 ELECTION_TIMEOUT_LEAST = 1.2
 ELECTION_TIMEOUT_MOST = 1.8
 ELECTION_POLL = 0.05
+# A candidate that lost stands again after at most so long.
+ELECTION_RETRY_MOST = 0.2
+# After a start each voter leaves this much more time to those before it: an
+# election among near members takes 20 ms.
+ELECTION_STEP = 0.1
 # A peer that does not answer within this time gets a new connection.
 CALL_TIMEOUT = 0.5
 VOTE_TIMEOUT = 0.4
--- /dev/null
+++ b/tests/programs/test_replicating.py
@@ -0,0 +1,30 @@
+"""Open a member's folder that was locked before."""
+
+import pathlib
+
+from cranberryrill import clock, transport
+from cranberryrill.programs import core, replicating
+from cranberryrill.replication import folder_lock, timing
+
+
+async def test_silence_counts_from_the_lock_of_the_folder(
+    tmp_path: pathlib.Path,
+) -> None:
+    lock = folder_lock.take(tmp_path)
+    assert lock is not None
+    place = replicating.Place(
+        name='127.0.0.1',
+        data_folder=tmp_path,
+        others={},
+        port=1,
+        fixed=False,
+        lock=lock,
+    )
+    dialer = transport.Dialer(None)
+    opened = replicating.Replicated(place, dialer, core.BOUNDS)
+    local = opened.member
+    assert lock.since < clock.monotonic_seconds()
+    assert not local.may_vote(lock.since + timing.LEADER_LEASE)
+    assert local.may_vote(lock.since + timing.VOTE_SILENCE)
+    opened.close()
+    assert folder_lock.take(tmp_path) is not None
--- a/tests/replication/test_files.py
+++ b/tests/replication/test_files.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from cranberryrill.replication import files
+from cranberryrill import clock
+from cranberryrill.replication import disk, files, folder_lock
 
 FIRST = files.frame(b'first')
 
@@ -53,7 +54,21 @@
 
 
 def test_one_process_holds_a_folder(tmp_path: pathlib.Path) -> None:
-    with files.hold(tmp_path / 'lock'):
-        with pytest.raises(files.FolderInUse):
-            files.hold(tmp_path / 'lock')
-    files.hold(tmp_path / 'lock').close()
+    held = disk.Disk(tmp_path)
+    with pytest.raises(files.FolderInUse):
+        disk.Disk(tmp_path)
+    held.close()
+    disk.Disk(tmp_path).close()
+
+
+def test_a_folder_may_be_locked_before_it_is_opened(
+    tmp_path: pathlib.Path,
+) -> None:
+    early = folder_lock.take(tmp_path)
+    assert early is not None
+    assert early.since <= clock.monotonic_seconds()
+    assert folder_lock.take(tmp_path) is None
+    held = disk.Disk(tmp_path, early)
+    assert held.lock.since == early.since
+    held.close()
+    assert folder_lock.take(tmp_path) is not None
