Send callers of a starting entry back as far apart as they came

Cause: Retry-After ran down with the time since the start, so that all came back at one moment, and that was 2.2 s after the start, though a proof now comes 0.9 s after it.

Change: always 1.3 s: after the proof, as evenly spread as the arrivals. The test that asked for a shorter time for later callers is replaced by one that replays the arrivals of a loss of power.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -12,10 +12,9 @@
 # A caller is answered this long before it stops waiting: the answer has to
 # reach it. In seconds.
 ANSWER_MARGIN = 0.01
-# An election takes this long, and so does all that is needed to serve after a
-# start, in seconds.
-PROOF_EXPECTED = 2.2
-RETRY_LEAST = 0.3
+# An entry proves its configuration this long after its start, if the members
+# start with it, in seconds: 1.02 s of silence before votes, an election, a push.
+PROOF_EXPECTED = 1.3
 # Other processes serve at once.
 RETRY_STOPPING = 0.02
 
@@ -43,7 +42,7 @@
 ) -> result.Result[Admitted, failures.Failure]:
     """Take a request, or say why not; `drawn` chooses among the services."""
     if not table.document.version:
-        return result.Err(not_serving('no configuration is known yet', 0))
+        return result.Err(not_serving('no configuration is known yet'))
     route = table.route_for(request.first('host') or '', request.path)
     if route is None:
         return result.Err(failures.UnknownRoute('no route covers this path'))
@@ -93,15 +92,14 @@
     )
 
 
-def not_serving(cause: str, unproved_for: float) -> failures.NotServing:
+def not_serving(cause: str) -> failures.NotServing:
     """Return the refusal of a process that can't prove what is in force.
 
-    Callers come back when it mostly can again, not before.
+    Answers a loss of power: callers press from the moment at which the process
+    listens. They come back when it mostly can serve, and as far apart as they
+    came: a shorter time for those who came later would bring all at once.
     """
-    return failures.NotServing(
-        cause,
-        retry_after_seconds=max(PROOF_EXPECTED - unproved_for, RETRY_LEAST),
-    )
+    return failures.NotServing(cause, retry_after_seconds=PROOF_EXPECTED)
 
 
 def _no_organisation(asked: terms.Terms) -> failures.Failure:
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -29,7 +29,6 @@
         self.dispatcher = shared
         self.holder = shared.holder
         self.measured = measured
-        self.started_at = clock.monotonic_seconds()
         self.stop: admission.Stop | None = None
 
     async def run_updates(self) -> None:
@@ -49,7 +48,6 @@
         if not self.holder.may_serve(request.received_at):
             refused: failures.Failure = admission.not_serving(
                 'the configuration may be out of date',
-                self._unproved_for(request.received_at),
             )
             await self._refuse(request, answering, refused)
             return
@@ -68,11 +66,6 @@
         else:
             await self._refuse(request, answering, admission.stopping())
 
-    def _unproved_for(self, now: float) -> float:
-        """Return since when nothing can be served here, in seconds."""
-        ended_at = self.holder.fresh_as_of + self.holder.serving_lease
-        return now - max(self.started_at, ended_at)
-
     async def _deliver(
         self,
         admitted: admission.Admitted,
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -1,6 +1,7 @@
 """Which requests are taken, and until when they are answered."""
 
 import dataclasses
+import itertools
 
 import pytest
 import result
@@ -89,8 +90,14 @@
     assert admission.may_finish(taken, later, 100)
 
 
-def test_callers_come_back_when_there_is_a_proof_again() -> None:
-    early = admission.not_serving('no proof', 0)
-    late = admission.not_serving('no proof', 5)
-    assert early.retry_after_seconds == admission.PROOF_EXPECTED
-    assert late.retry_after_seconds == admission.RETRY_LEAST
+def test_callers_come_back_after_the_proof_as_far_apart_as_they_came() -> None:
+    # After a loss of power they press until the first proof, 0.9 s later.
+    arrivals = [number * 0.01 for number in range(90)]
+    returns = []
+    for arrived_at in arrivals:
+        wait = admission.not_serving('no proof').retry_after_seconds
+        assert wait is not None
+        returns.append(arrived_at + wait)
+    assert min(returns) > max(arrivals)
+    for before, after in itertools.pairwise(returns):
+        assert after - before == pytest.approx(0.01)
