Let a restarted voter listen for 0.3 s instead of a whole lease

Cause: after the loss of all members a second of silence before the first vote was the longest part of the time without service.

Ruled out as a risk: two holders of authority. A new holder sends nothing for the lease and the send deadline (1.53 s) anyway, an order is sent only while the lease covers all of its time, and a proof of freshness holds for the moment at which the confirming round was sent, whatever the votes.

--- a/cranberryrill/replication/member.py
+++ b/cranberryrill/replication/member.py
@@ -182,11 +182,16 @@
         return groups.is_voter(self.group, self.name, self.identity)
 
     def may_vote(self, now: float) -> bool:
-        """Say whether no lease that this voter supported can still run."""
+        """Say whether no leader is there that an election would disturb.
+
+        What a leader's lease protects doesn't rest on this: a new holder of
+        authority waits until the lease before its own has run out.
+        """
         if self.holds_lease(now):
             return False
-        heard = max(self.heard_at, self.started_at)
-        return now >= heard + timing.VOTE_SILENCE
+        if now < self.started_at + timing.START_SILENCE:
+            return False
+        return now >= self.heard_at + timing.VOTE_SILENCE
 
     def is_current(self, request: replication_pb2.VoteRequest) -> bool:
         """Say whether the candidate's log is at least as new as ours."""
--- a/cranberryrill/replication/timing.py
+++ b/cranberryrill/replication/timing.py
@@ -7,6 +7,8 @@
 # A voter that heard a leader refuses all votes for this long.
 VOTE_SILENCE = LEADER_LEASE * (1 + CLOCK_DRIFT)
 HEARTBEAT = 0.15
+# A voter that has just started hears two heartbeats of a leader that is there.
+START_SILENCE = 2 * HEARTBEAT
 ELECTION_TIMEOUT_LEAST = 1.2
 ELECTION_TIMEOUT_MOST = 1.8
 ELECTION_POLL = 0.05
