--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -37,11 +37,14 @@
         self.harmed_until: dict[str, float] = {}
         self.busy: set[str] = set()
         self.may_wipe = True
+        self.exits: list[str] = []
 
     async def run(self, seconds: float) -> None:
         """Play faults for a while."""
         ends_at = time.monotonic() + seconds
         await asyncio.gather(*(self._loop(ends_at) for _ in range(LOOPS)))
+        for vm in (*self.fleet.members, *self.fleet.entries):
+            self._restart(vm)
 
     def is_harmed(self, vm: fleet.Vm, since: float) -> bool:
         """Say whether a VM was harmed at or after a moment."""
@@ -76,6 +79,16 @@
         vms = [*self.fleet.members, *self.fleet.entries]
         return self.rng.choice([vm for vm in vms if vm.name not in self.busy])
 
+    def _restart(self, vm: fleet.Vm) -> None:
+        """Start a program anew that a reload met before its first line."""
+        process = self.fleet.running[vm.name]
+        if process.is_running():
+            return
+        code = process.wait()
+        if code != -signal.SIGHUP:
+            self.exits.append(f'{vm.name} ended by itself with {code}')
+        self.fleet.start(vm)
+
     async def _kill(self, vm: fleet.Vm) -> None:
         self.fleet.running[vm.name].kill()
         self.fleet.start(vm)
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -87,6 +87,7 @@
                 task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(*tasks, return_exceptions=True)
+            self.ledger.broken.extend(self.faults.exits)
             self.ledger.judge(self.replicas, self.reports)
             self.fleet.stop()
         return self.ledger
--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -12,9 +12,9 @@
 # A caller is answered this long before it stops waiting: the answer has to
 # reach it. In seconds.
 ANSWER_MARGIN = 0.01
-# An entry proves its configuration this long after its start, if the members
-# start with it, in seconds: 1.02 s of silence before votes, an election, a push.
-PROOF_EXPECTED = 1.3
+# An entry proves its configuration this long after its start at the latest, in
+# seconds, if the members start with it: 0.3 s until votes, an election, a push.
+PROOF_EXPECTED = 0.8
 # Other processes serve at once.
 RETRY_STOPPING = 0.02
 
--- a/cranberryrill/membership/watching.py
+++ b/cranberryrill/membership/watching.py
@@ -70,7 +70,7 @@
             await self._push_state()
             await self.push_directory(clock.monotonic_seconds())
             await self._push_registry(clock.monotonic_seconds())
-            await self._push_grants(fresh)
+            await self.push_grants(fresh)
 
     async def push_directory(self, now: float) -> None:
         """Push what the watcher lacks of the directory, if it wants any."""
@@ -85,6 +85,24 @@
         update = self.cursor.step(known.announcements())
         await self.stream.send_message(membership_pb2.Push(directory=update))
 
+    async def push_grants(self, fresh: member.Freshness) -> None:
+        """Grant leases to renewals that a proof covers."""
+        renewals = self.renewals
+        self.renewals = []
+        for sequence, arrived_at in renewals:
+            age = max(arrived_at - fresh.as_of, 0)
+            if age > timing.SERVING_LEASE:
+                # The next proof covers it; only the newest one matters.
+                self.renewals = [(sequence, arrived_at)]
+                continue
+            grant = membership_pb2.Grant(
+                sequence=sequence,
+                age_ms=int(age * MILLISECONDS_PER_SECOND) + 1,
+                revision=self.revision,
+                fencing=self.service.fencing(),
+            )
+            await self.stream.send_message(membership_pb2.Push(grant=grant))
+
     async def _push_registry(self, now: float) -> None:
         if not self.wants_directory:
             return
@@ -115,21 +133,6 @@
         self.revision = update.revision
         await self.stream.send_message(membership_pb2.Push(state=update))
 
-    async def _push_grants(self, fresh: member.Freshness) -> None:
-        renewals = self.renewals
-        self.renewals = []
-        for sequence, arrived_at in renewals:
-            age = max(arrived_at - fresh.as_of, 0)
-            if age > timing.SERVING_LEASE:
-                continue
-            grant = membership_pb2.Grant(
-                sequence=sequence,
-                age_ms=int(age * MILLISECONDS_PER_SECOND) + 1,
-                revision=self.revision,
-                fencing=self.service.fencing(),
-            )
-            await self.stream.send_message(membership_pb2.Push(grant=grant))
-
 
 class MembershipService(membership_grpc.MembershipBase):
     """Serve the watches of entries and agents, and the other members."""
--- a/cranberryrill/replication/electing.py
+++ b/cranberryrill/replication/electing.py
@@ -78,6 +78,9 @@
             return False
         if not self.member.may_vote(now - offset):
             return False
+        # Whoever got this member's vote may be about to lead.
+        if now < self.member.voted_at + timing.START_SILENCE:
+            return False
         return now >= self.member.heard_at + silence
 
     async def stand(self) -> None:
--- a/cranberryrill/replication/member.py
+++ b/cranberryrill/replication/member.py
@@ -16,6 +16,8 @@
 from cranberryrill.state import machine
 
 MAX_PENDING_ENTRIES = 4096
+# Before any moment of the monotonic clock.
+NEVER = float('-inf')
 MAX_BATCH_ENTRIES = 512
 
 
@@ -40,7 +42,7 @@
     # How much of snapshots was sent in this term.
     snapshot_bytes: int = 0
     # When the newest append that the peer has answered was sent.
-    confirmed_at: float = float('-inf')
+    confirmed_at: float = NEVER
 
     def identify(self, identity: str) -> None:
         """Forget what another data folder under this name had stored."""
@@ -48,7 +50,7 @@
             return
         self.identity = identity
         self.match_index = 0
-        self.confirmed_at = float('-inf')
+        self.confirmed_at = NEVER
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,9 +127,11 @@
         self.started_at = now
         self.standing = Standing.follower
         self.leader = ''
-        self.heard_at = float('-inf')
+        self.heard_at = NEVER
+        # When this member last voted for another one.
+        self.voted_at = NEVER
         # When this member last began to lead.
-        self.led_since = float('-inf')
+        self.led_since = NEVER
         snapshot = disk.snapshots.read()
         if snapshot.index:
             state.load(snapshot.state)
@@ -136,7 +140,7 @@
         self.synced_index = disk.log.last_index
         self.progress: dict[str, PeerProgress] = {}
         self.pending: dict[int, Pending] = {}
-        self.freshness = Freshness(index=0, as_of=float('-inf'))
+        self.freshness = Freshness(index=0, as_of=NEVER)
         self.disk_lock = asyncio.Lock()
         self.committed = asyncio.Condition()
         self.proposed = asyncio.Event()
@@ -224,7 +228,7 @@
         """Return when a majority last confirmed this leader, by our clock."""
         moments = [known.confirmed_at for known in self._voters()]
         moments.append(now)
-        return _agreed(moments, self.majority, float('-inf'))
+        return _agreed(moments, self.majority, NEVER)
 
     def holds_lease(self, now: float) -> bool:
         """Say whether no other member can lead at this moment."""
--- a/cranberryrill/replication/voting.py
+++ b/cranberryrill/replication/voting.py
@@ -29,4 +29,5 @@
         if not free or not local.is_current(request):
             return False
         await local.store.save_ballot(request.term, request.identity)
+        local.voted_at = now
         return True
--- a/tests/membership/test_watching.py
+++ b/tests/membership/test_watching.py
@@ -8,6 +8,7 @@
 
 from cranberryrill import clock
 from cranberryrill.membership import directory, membership_pb2, watching
+from cranberryrill.replication import member
 
 
 class Recorded:
@@ -56,3 +57,18 @@
 async def _watch(watch: watching.Watch) -> None:
     await watch.read()
     await watch.push_directory(clock.monotonic_seconds())
+
+
+async def test_a_renewal_waits_for_the_first_proof() -> None:
+    service: typing.Any = Service()
+    service.fencing = int
+    stream = Recorded(membership_pb2.Role.ENTRY)
+    watch = watching.Watch(service, typing.cast(typing.Any, stream))
+    watch.renewals = [(1, 10.0), (2, 10.5)]
+    await watch.push_grants(member.Freshness(index=0, as_of=float('-inf')))
+    assert not stream.pushed
+    # The member came to know of a leader after the renewal had arrived.
+    await watch.push_grants(member.Freshness(index=5, as_of=10.8))
+    assert [one.grant.sequence for one in stream.pushed] == [2]
+    await watch.push_grants(member.Freshness(index=5, as_of=10.9))
+    assert len(stream.pushed) == 1
--- a/tests/replication/test_electing.py
+++ b/tests/replication/test_electing.py
@@ -79,3 +79,12 @@
     local.name = 'a'
     assert not standing.is_due(silence_ends, 0, second)
     assert standing.is_due(silence_ends + second, 0, second)
+
+
+async def test_whoever_voted_gives_the_candidate_time_to_lead(
+    local: member.Member,
+) -> None:
+    standing = elector(local, term=0)
+    local.voted_at = 20
+    assert not standing.is_due(20 + timing.HEARTBEAT, 0)
+    assert standing.is_due(20 + timing.START_SILENCE, 0)
