Let requests wait up to half a second for a starting entry's first proof

Cause: the first proof now comes 0.1 to 0.5 s after an entry's start, yet whoever came before it was sent away for 0.8 s.

Change: a request waits until 0.5 s after the start if its deadline allows an answer then; 256 at most wait; whoever can't be answered in time is told so at once.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -15,6 +15,10 @@
 # An entry proves its configuration this long after its start at the latest, in
 # seconds, if the members start with it: 0.3 s until votes, an election, a push.
 PROOF_EXPECTED = 0.8
+# Most of them prove it within this time.
+PROOF_MOSTLY = 0.5
+# Requests that wait for the first proof at once; each keeps its body in memory.
+AWAITING_MOST = 256
 # Other processes serve at once.
 RETRY_STOPPING = 0.02
 
@@ -102,6 +106,23 @@
     return failures.NotServing(cause, retry_after_seconds=PROOF_EXPECTED)
 
 
+def first_proof_wait(
+    started_for: float,
+    time_left: float,
+    awaiting: int,
+) -> float:
+    """Return how long a request may wait for a process's first proof.
+
+    Answers a loss of power: callers come as soon as a process listens, half a
+    second before it may serve. One that can be answered after the wait has its
+    answer sooner than if it were sent away; one that can't is told so at once.
+    """
+    wait = PROOF_MOSTLY - started_for
+    if wait <= 0 or awaiting >= AWAITING_MOST:
+        return 0
+    return wait if wait + ANSWER_MARGIN < time_left else 0
+
+
 def _no_organisation(asked: terms.Terms) -> failures.Failure:
     if asked.key:
         return failures.InvalidKey('the key is unknown or withdrawn')
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -4,7 +4,7 @@
 
 import result
 
-from cranberryrill import clock, failures, identifiers
+from cranberryrill import clock, failures, identifiers, tasks
 from cranberryrill.forwarding import (
     admission,
     delivery,
@@ -29,7 +29,10 @@
         self.dispatcher = shared
         self.holder = shared.holder
         self.measured = measured
+        self.started_at = clock.monotonic_seconds()
         self.stop: admission.Stop | None = None
+        # How many requests wait for the first proof.
+        self.awaiting = 0
 
     async def run_updates(self) -> None:
         """Follow the configuration and the registry."""
@@ -45,7 +48,9 @@
     ) -> None:
         """Answer one request."""
         answering.closes = self.stop is not None
-        if not self.holder.may_serve(request.received_at):
+        if not self.holder.first_proof.is_set():
+            await self._await_first_proof(request)
+        if not self.holder.may_serve(clock.monotonic_seconds()):
             refused: failures.Failure = admission.not_serving(
                 'the configuration may be out of date',
             )
@@ -66,6 +71,34 @@
         else:
             await self._refuse(request, answering, admission.stopping())
 
+    async def _await_first_proof(self, request: terms.Request) -> None:
+        """Wait for the first proof after a start, if that helps the caller."""
+        asked = terms.read(request, self.dispatcher.names)
+        time_left = float('inf')
+        if asked.deadline_ms is not None:
+            time_left = asked.deadline_ms / MILLISECONDS_PER_SECOND
+        wait = admission.first_proof_wait(
+            request.received_at - self.started_at,
+            time_left,
+            self.awaiting,
+        )
+        if not wait:
+            return
+        self.awaiting += 1
+        try:
+            proved = await tasks.is_set(self.holder.first_proof, wait)
+        finally:
+            self.awaiting -= 1
+        waited = clock.monotonic_seconds() - request.received_at
+        LOGGER.info(
+            'first proof awaited',
+            extra={
+                'request_id': asked.attempt,
+                'waited_ms': int(waited * MILLISECONDS_PER_SECOND),
+                'proved': proved,
+            },
+        )
+
     async def _deliver(
         self,
         admitted: admission.Admitted,
--- a/cranberryrill/membership/holding.py
+++ b/cranberryrill/membership/holding.py
@@ -63,6 +63,8 @@
         self.learn_fencing: abc.Callable[[int, float], None] | None = None
         self.updated = asyncio.Condition()
         self.announce_now = asyncio.Event()
+        # Set by the first proof of this process.
+        self.first_proof = asyncio.Event()
 
     def may_serve(self, now: float) -> bool:
         """Say whether what is held here is proved to be in force."""
@@ -188,6 +190,7 @@
         if as_of > self.fresh_as_of:
             self.fresh_as_of = as_of
             self.proved_at = now
+            self.first_proof.set()
         if self.learn_fencing is not None:
             self.learn_fencing(grant.fencing, as_of)
 
--- a/cranberryrill/tasks.py
+++ b/cranberryrill/tasks.py
@@ -76,6 +76,16 @@
         )
 
 
+async def is_set(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for `event`, leave it as it is, and say whether it came in time."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 async def wait_event(event: asyncio.Event, seconds: float) -> bool:
     """Wait for `event`, clear it, and say whether it came in time."""
     try:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -101,3 +101,18 @@
     assert min(returns) > max(arrivals)
     for before, after in itertools.pairwise(returns):
         assert after - before == pytest.approx(0.01)
+
+
+def test_requests_wait_for_the_first_proof_after_a_loss_of_power() -> None:
+    expected = admission.PROOF_MOSTLY
+    # Callers press from the moment at which the process listens.
+    for started_for in (0.0, 0.2, 0.4):
+        wait = admission.first_proof_wait(started_for, 4.0, 0)
+        assert wait == expected - started_for
+    # Nobody knows how much longer it takes: they come back instead.
+    assert not admission.first_proof_wait(expected, 4.0, 0)
+    # One that could not be answered any more is told so at once.
+    assert not admission.first_proof_wait(0.1, 0.3, 0)
+    assert admission.first_proof_wait(0.3, 0.3, 0)
+    # What waits takes memory.
+    assert not admission.first_proof_wait(0.1, 4.0, admission.AWAITING_MOST)
