Send nothing more once a request's time is over

Cause: a request that had waited past its deadline at one agent, proved not run, was sent to the next one with 1 ms left, and might run there for nobody. Found when reading the change; the test was red before. Change: a time-out is final at the entry.

--- a/cranberryrill/callers/gateway.py
+++ b/cranberryrill/callers/gateway.py
@@ -199,10 +199,13 @@
     """Say whether another agent may be asked.
 
     It may if nothing ran. What may be repeated is run again as long as the
-    caller has been given nothing.
+    caller has been given nothing. After the deadline nothing is sent any more.
     """
     if ended.is_ok() or dispatch.progress.started:
         return False
-    if ended.unwrap_err().ran is failures.Ran.no:
+    failure = ended.unwrap_err()
+    if isinstance(failure, failures.TimedOut):
+        return False
+    if failure.ran is failures.Ran.no:
         return True
     return dispatch.call.idempotent
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -72,6 +72,9 @@
         # What may not be repeated runs once.
         (failures.UpstreamFailed('silent', YES), False, False, 1),
         (failures.OutcomeUnknown('lost', UNKNOWN), False, False, 1),
+        # No time is left, whether it ran or not.
+        (failures.TimedOut('late', NO), True, False, 1),
+        (failures.TimedOut('late', UNKNOWN), True, False, 1),
         # The caller has a part of the answer already.
         (failures.UpstreamFailed('silent', YES), True, True, 1),
     ],
