Name modules by the nouns that a newcomer would search for

callers/readiness (standing), membership/serving_lease (holding), authority/holder (holding), engine_orders (passing), fencing_gate (gate), programs/platform_duties (outside), certificates/issuing (making), administration/operations (office), key_handlers (keeping).

--- a/bench/group.py
+++ b/bench/group.py
@@ -10,7 +10,7 @@
 
 from bench import faults, web
 from cranberryrill import clock, tasks, transport
-from cranberryrill.certificates import making
+from cranberryrill.certificates import issuing
 from cranberryrill.configuration import state
 from cranberryrill.replication import (
     admitting,
@@ -140,7 +140,7 @@
     async def __aenter__(self) -> 'Group':
         """Start the members and wait for a leader."""
         now = datetime.datetime.now(datetime.UTC)
-        making.make_files(self.folder, now, ())
+        issuing.make_files(self.folder, now, ())
         tls = transport.TlsSettings(
             authority=self.folder / 'authority.pem',
             certificate=self.folder / 'control.pem',
--- a/bench/watchers.py
+++ b/bench/watchers.py
@@ -9,7 +9,7 @@
 import cyclopts
 
 from cranberryrill import tasks, transport
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.settings import loading, schema
 
 APP = cyclopts.App(name='watchers', help='Hold many watches.')
@@ -26,7 +26,7 @@
         control: abc.Sequence[transport.Address],
     ) -> None:
         self.name = name
-        self.holder = holding.Holder(
+        self.holder = serving_lease.Holder(
             dialer,
             control,
             self.announcement,
--- a/cranberryrill/administration/accounting.py
+++ b/cranberryrill/administration/accounting.py
@@ -13,7 +13,7 @@
 )
 
 
-class UsageHandler(handlers.OfficeHandler):
+class UsageHandler(handlers.OperationsHandler):
     """Answer `/admin/v1/usage`."""
 
     async def get(self) -> None:
@@ -37,11 +37,11 @@
         self.refuse(refusals.UnknownWindow(f'no window {number} is kept'))
 
     def _windows(self) -> list[usage_pb2.Window]:
-        held = self.office.usage
+        held = self.operations.usage
         return [held.open, *reversed(held.sealed.values())]
 
     def _lines(self, window: usage_pb2.Window) -> list[dict[str, typing.Any]]:
-        unsealed = self.office.usage.sums.lines()
+        unsealed = self.operations.usage.sums.lines()
         lines = window.lines if window.sealed else unsealed
         return [
             {
--- a/cranberryrill/administration/api.py
+++ b/cranberryrill/administration/api.py
@@ -5,13 +5,13 @@
 from cranberryrill.administration import (
     accounting,
     configuring,
-    keeping,
-    office,
+    key_handlers,
+    operations,
     reporting,
 )
 
 
-def application(held: office.Office) -> web.Application:
+def application(held: operations.Operations) -> web.Application:
     """Return the HTTP application for operators."""
     shared = {'held': held}
     return web.Application(
@@ -26,7 +26,7 @@
                 configuring.HistoryHandler,
                 shared,
             ),
-            ('/admin/v1/keys', keeping.KeysHandler, shared),
+            ('/admin/v1/keys', key_handlers.KeysHandler, shared),
             ('/admin/v1/status', reporting.StatusHandler, shared),
             ('/admin/v1/usage', accounting.UsageHandler, shared),
         ],
--- a/cranberryrill/administration/configuring.py
+++ b/cranberryrill/administration/configuring.py
@@ -11,14 +11,14 @@
 from cranberryrill.state import commands_pb2
 
 
-class ConfigurationHandler(handlers.OfficeHandler):
+class ConfigurationHandler(handlers.OperationsHandler):
     """Answer `/admin/v1/configuration`."""
 
     async def get(self) -> None:
         """Show the document in force."""
         if not await self.current():
             return
-        held = self.office.state
+        held = self.operations.state
         self.finish(
             {
                 'revision': held.serving.revision,
@@ -47,14 +47,14 @@
         command = commands_pb2.Command(
             apply_configuration=self._change(asked, checked.ok_value),
         )
-        await self.conclude(await self.office.change(command), asked.wait)
+        await self.conclude(await self.operations.change(command), asked.wait)
 
     async def _catch_up(self, revision: int) -> failures.Failure | None:
         """Wait for the revision that the difference is taken against."""
-        held = self.office.state.serving
+        held = self.operations.state.serving
         if held.revision >= revision:
             return None
-        current = await self.office.current(
+        current = await self.operations.current(
             clock.monotonic_seconds(),
         )
         if isinstance(current, result.Err):
@@ -76,13 +76,13 @@
         return commands_pb2.ApplyConfiguration(
             change_id=asked.change_id,
             base_revision=asked.base_revision,
-            changes=self.office.state.difference(wanted),
+            changes=self.operations.state.difference(wanted),
             operator=asked.operator,
             request_digest=digest,
         )
 
 
-class HistoryHandler(handlers.OfficeHandler):
+class HistoryHandler(handlers.OperationsHandler):
     """Answer `/admin/v1/configuration/history`."""
 
     async def get(self) -> None:
@@ -98,6 +98,6 @@
                 'changed': list(record.changed),
                 'changed_count': record.changed_count,
             }
-            for record in reversed(self.office.state.records)
+            for record in reversed(self.operations.state.records)
         ]
         self.finish({'changes': listed})
--- a/cranberryrill/administration/handlers.py
+++ b/cranberryrill/administration/handlers.py
@@ -9,7 +9,7 @@
 from tornado import web
 
 from cranberryrill import clock, failures, identifiers
-from cranberryrill.administration import office, refusals
+from cranberryrill.administration import operations, refusals
 from cranberryrill.keys import digests
 from cranberryrill.membership import timing as membership_timing
 
@@ -17,19 +17,19 @@
 Revised = result.Result[int, failures.Failure]
 
 
-class OfficeHandler(web.RequestHandler):
+class OperationsHandler(web.RequestHandler):
     """Check the operators' token."""
 
-    def initialize(self, held: office.Office) -> None:
+    def initialize(self, held: operations.Operations) -> None:
         """Take what the administration acts on."""
-        self.office = held
+        self.operations = held
         self.request_id = identifiers.new_identifier('adm')
 
     def prepare(self) -> None:
         """Refuse whoever has no valid token."""
         header = self.request.headers.get('Authorization', '')
         digest = digests.bearer_digest(header) or b''
-        wanted = bytes.fromhex(self.office.token_sha256)
+        wanted = bytes.fromhex(self.operations.token_sha256)
         if not hmac.compare_digest(digest, wanted):
             self.refuse(
                 refusals.NotAuthorised("the operators' token is needed")
@@ -54,7 +54,7 @@
 
     async def current(self) -> bool:
         """Wait until this member is proved current, or refuse."""
-        held = await self.office.current(clock.monotonic_seconds())
+        held = await self.operations.current(clock.monotonic_seconds())
         if isinstance(held, result.Err):
             self.refuse(held.err_value)
             return False
@@ -72,7 +72,7 @@
             return
         if wait:
             deadline = clock.monotonic_seconds() + membership_timing.LEASE_BOUND
-            await self.office.in_force(changed.ok_value, deadline)
+            await self.operations.in_force(changed.ok_value, deadline)
         LOGGER.info(
             'change accepted',
             extra={
--- a/cranberryrill/administration/keeping.py
+++ b/cranberryrill/administration/key_handlers.py
@@ -9,14 +9,14 @@
 SHOWN_DIGEST_BYTES = 6
 
 
-class KeysHandler(handlers.OfficeHandler):
+class KeysHandler(handlers.OperationsHandler):
     """Answer `/admin/v1/keys`."""
 
     async def get(self) -> None:
         """List the keys; none is shown."""
         if not await self.current():
             return
-        held = self.office.state.serving
+        held = self.operations.state.serving
         listed = [
             {
                 'name': key.name,
@@ -47,7 +47,7 @@
             ),
             asked,
         )
-        changed = await self.office.change(command)
+        changed = await self.operations.change(command)
         await self.conclude(changed, asked.wait, key=key)
 
     async def delete(self) -> None:
@@ -55,14 +55,14 @@
         asked = self.read(requests.WithdrawRequest)
         if asked is None or not await self.current():
             return
-        known = self.office.state.serving.find_key(asked.name)
+        known = self.operations.state.serving.find_key(asked.name)
         if known is None:
             self.refuse(refusals.UnknownKey(f'no key {asked.name!r}'))
             return
         withdrawn = commands_pb2.KeyRecord()
         withdrawn.CopyFrom(known)
         withdrawn.withdrawn = True
-        changed = await self.office.change(_put_key(withdrawn, asked))
+        changed = await self.operations.change(_put_key(withdrawn, asked))
         await self.conclude(changed, asked.wait)
 
 
--- a/cranberryrill/administration/members.py
+++ b/cranberryrill/administration/members.py
@@ -8,7 +8,7 @@
 from tornado import web
 
 from cranberryrill import failures
-from cranberryrill.administration import handlers, office
+from cranberryrill.administration import handlers, operations
 from cranberryrill.replication import admitting, groups, replication_pb2
 
 Verdict = replication_pb2.AdmitAnswer
@@ -46,7 +46,7 @@
     status: typing.ClassVar[int] = http.HTTPStatus.SERVICE_UNAVAILABLE
 
 
-class MembersHandler(handlers.OfficeHandler):
+class MembersHandler(handlers.OperationsHandler):
     """List, admit and dismiss the voters of the group."""
 
     @property
@@ -59,7 +59,7 @@
 
     def get(self) -> None:
         """List who votes, and what the leader knows of each member."""
-        local = self.office.member
+        local = self.operations.member
         voters = groups.identities(local.group)
         names = sorted({local.name, *local.peers, *voters})
         self.finish(
@@ -87,7 +87,7 @@
         name: str,
         voters: dict[str, str],
     ) -> dict[str, typing.Any]:
-        local = self.office.member
+        local = self.operations.member
         described: dict[str, typing.Any] = {
             'name': name,
             'voting_identity': voters.get(name, ''),
@@ -124,7 +124,7 @@
 
 def add_to(
     application: web.Application,
-    held: office.Office,
+    held: operations.Operations,
     admission: admitting.Admission,
 ) -> None:
     """Serve the members beside the rest of the administration."""
--- a/cranberryrill/administration/office.py
+++ b/cranberryrill/administration/operations.py
@@ -33,7 +33,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Office:
+class Operations:
     """Hold what the administration acts on."""
 
     member: member.Member
--- a/cranberryrill/administration/reporting.py
+++ b/cranberryrill/administration/reporting.py
@@ -8,15 +8,15 @@
 from cranberryrill.membership import timing as membership_timing
 
 
-class StatusHandler(handlers.OfficeHandler):
+class StatusHandler(handlers.OperationsHandler):
     """Answer `/admin/v1/status`."""
 
     def get(self) -> None:
         """Show what this member knows, and whether that is current."""
-        local = self.office.member
+        local = self.operations.member
         now = clock.monotonic_seconds()
         age = now - local.freshness.as_of
-        processes = self.office.directory.announcements()
+        processes = self.operations.directory.announcements()
         self.finish(
             {
                 'member': local.name,
@@ -24,7 +24,7 @@
                 'leader': local.leader,
                 'term': local.term,
                 'commit_index': local.commit_index,
-                'revision': self.office.state.serving.revision,
+                'revision': self.operations.state.serving.revision,
                 'current': age < membership_timing.WATCH_SILENCE,
                 'processes': [
                     _shown(processes[name]) for name in sorted(processes)
--- a/cranberryrill/authority/passing.py
+++ b/cranberryrill/authority/engine_orders.py
@@ -13,7 +13,7 @@
 from cranberryrill.authority import (
     authority_grpc,
     authority_pb2,
-    gate,
+    fencing_gate,
     sending,
     timing,
 )
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        known: gate.Gate,
+        known: fencing_gate.Gate,
         base_url: str,
         served: Drainable,
     ) -> None:
@@ -103,13 +103,13 @@
     def _refused(
         self,
         order: authority_pb2.EngineOrder,
-        closed: gate.Closed,
+        closed: fencing_gate.Closed,
     ) -> authority_pb2.EngineOrderAnswer:
         LOGGER.warning(
             'order refused',
             extra={'sender': order.sender, 'cause': str(closed)},
         )
-        if isinstance(closed, gate.OldFencing):
+        if isinstance(closed, fencing_gate.OldFencing):
             return self._answer(Verdict.OLD_FENCING)
         return self._answer(Verdict.NOT_PROVED)
 
@@ -128,7 +128,7 @@
 class Transfer:
     """Guard one exchange by the gate."""
 
-    def __init__(self, known: gate.Gate, fencing: int) -> None:
+    def __init__(self, known: fencing_gate.Gate, fencing: int) -> None:
         self.gate = known
         self.fencing = fencing
         self.refused = False
--- a/cranberryrill/authority/ordering.py
+++ b/cranberryrill/authority/ordering.py
@@ -13,7 +13,7 @@
 from cranberryrill.authority import (
     authority_pb2,
     backoff,
-    holding,
+    holder,
     intents,
     sending,
     timing,
@@ -66,7 +66,7 @@
 
     def __init__(
         self,
-        authority: holding.Authority,
+        authority: holder.Authority,
         state: intents.AuthorityState,
         sender: sending.Sender,
         planner: Planner,
@@ -107,7 +107,7 @@
             if not await self._place(wanted, tenure):
                 return
 
-    def _tenure(self) -> holding.Tenure | None:
+    def _tenure(self) -> holder.Tenure | None:
         if self.authority.stopping:
             return None
         return self.authority.current(clock.monotonic_seconds())
@@ -157,7 +157,7 @@
     async def _place(
         self,
         wanted: authority_pb2.Intent,
-        tenure: holding.Tenure,
+        tenure: holder.Tenure,
     ) -> bool:
         wanted.fencing = tenure.fencing
         placed = await self.authority.commit(
--- a/cranberryrill/authority/sending.py
+++ b/cranberryrill/authority/sending.py
@@ -11,7 +11,7 @@
 from tornado import curl_httpclient, httpclient
 
 from cranberryrill import clock
-from cranberryrill.authority import holding, timing
+from cranberryrill.authority import holder, timing
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
@@ -68,7 +68,7 @@
         self,
         base_url: str,
         name: str,
-        authority: holding.Authority,
+        authority: holder.Authority,
         named: SenderHeaders = OWN_HEADERS,
     ) -> None:
         self.named = named
@@ -80,7 +80,7 @@
             force_instance=True,
         )
 
-    async def send(self, message: Message, tenure: holding.Tenure) -> Sent:
+    async def send(self, message: Message, tenure: holder.Tenure) -> Sent:
         """Send a message and return the platform's HTTP status."""
         transfer = Transfer(self.authority, tenure)
         request = httpclient.HTTPRequest(
@@ -105,7 +105,7 @@
     def _headers(
         self,
         message: Message,
-        tenure: holding.Tenure,
+        tenure: holder.Tenure,
     ) -> dict[str, str]:
         headers = {
             'Content-Type': 'application/json',
@@ -122,8 +122,8 @@
 
     def __init__(
         self,
-        authority: holding.Authority,
-        tenure: holding.Tenure,
+        authority: holder.Authority,
+        tenure: holder.Tenure,
     ) -> None:
         self.authority = authority
         self.tenure = tenure
--- a/cranberryrill/callers/candidates.py
+++ b/cranberryrill/callers/candidates.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from cranberryrill import clock, failures
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 
 # While a pool is restarted, a request waits this long for an agent to appear.
 PATIENCE_SECONDS = 2.0
@@ -18,7 +18,7 @@
 
     def __init__(
         self,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         order: Order,
         now: float,
     ) -> None:
--- a/cranberryrill/callers/claimed.py
+++ b/cranberryrill/callers/claimed.py
@@ -5,7 +5,7 @@
 from cranberryrill import failures
 from cranberryrill.callers import candidates
 from cranberryrill.claims import claiming, claims_pb2, refusals
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.relay import connections, deadlines, dispatching, relay_pb2
 from cranberryrill.state import submitting
 
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         lent: connections.Connections,
         claimer: claiming.Claimer,
         call: relay_pb2.Call,
--- a/cranberryrill/callers/gateway.py
+++ b/cranberryrill/callers/gateway.py
@@ -8,7 +8,7 @@
 from cranberryrill.callers import candidates, claimed
 from cranberryrill.claims import claiming
 from cranberryrill.limits import limiting
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.relay import (
     connections,
     deadlines,
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         dialer: transport.Dialer,
         router: choosing.Router,
         claimer: claiming.Claimer,
--- a/cranberryrill/callers/handlers.py
+++ b/cranberryrill/callers/handlers.py
@@ -13,12 +13,12 @@
 from cranberryrill.callers import (
     gateway,
     inspecting,
+    readiness,
     receiving,
     refusals,
-    standing,
 )
 from cranberryrill.keys import digests
-from cranberryrill.membership import holding
+from cranberryrill.membership import serving_lease
 from cranberryrill.relay import deadlines, dispatching, relay_pb2, timing
 
 LOGGER = logging.getLogger(__name__)
@@ -34,9 +34,9 @@
     def initialize(
         self,
         shared_gateway: gateway.Gateway,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         open_requests: set['CallerHandler'],
-        entry: standing.Standing,
+        entry: readiness.Readiness,
         limits: receiving.Limits,
     ) -> None:
         """Take what all requests of this process share."""
--- a/cranberryrill/callers/health.py
+++ b/cranberryrill/callers/health.py
@@ -5,8 +5,8 @@
 from tornado import web
 
 from cranberryrill import clock
-from cranberryrill.callers import standing
-from cranberryrill.membership import holding
+from cranberryrill.callers import readiness
+from cranberryrill.membership import serving_lease
 
 
 class HealthHandler(web.RequestHandler):
@@ -22,8 +22,8 @@
 
     def initialize(
         self,
-        holder: holding.Holder,
-        entry: standing.Standing,
+        holder: serving_lease.Holder,
+        entry: readiness.Readiness,
     ) -> None:
         """Take the holder of the state in force, and where the entry is."""
         self.holder = holder
--- a/cranberryrill/callers/standing.py
+++ b/cranberryrill/callers/readiness.py
@@ -4,7 +4,7 @@
 import typing
 
 
-class Standing:
+class Readiness:
     """Hold what a planned stop changes, step by step."""
 
     def __init__(self) -> None:
--- a/cranberryrill/callers/withdrawing.py
+++ b/cranberryrill/callers/withdrawing.py
@@ -4,7 +4,7 @@
 
 from cranberryrill import clock, failures
 from cranberryrill.callers import handlers
-from cranberryrill.membership import holding, timing
+from cranberryrill.membership import serving_lease, timing
 
 
 class Withdrawals:
@@ -12,7 +12,7 @@
 
     def __init__(
         self,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         open_requests: set[handlers.CallerHandler],
     ) -> None:
         self.holder = holder
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -19,7 +19,7 @@
     upstreams,
     vocabulary,
 )
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.traffic import document, matching
 
 LOGGER = logging.getLogger(__name__)
@@ -45,7 +45,7 @@
     def __init__(
         self,
         setup: Setup,
-        holder: holding.Holder,
+        holder: serving_lease.Holder,
         usage: counting.UsageCounter,
         rng: random.Random,
     ) -> None:
--- a/cranberryrill/programs/agent.py
+++ b/cranberryrill/programs/agent.py
@@ -6,8 +6,8 @@
 from collections import abc
 
 from cranberryrill import clock, identifiers, metrics, tasks, transport
-from cranberryrill.authority import gate, passing
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.authority import engine_orders, fencing_gate
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.programs import measuring, running
 from cranberryrill.relay import running as relaying
 from cranberryrill.relay import timing as relay_timing
@@ -51,15 +51,15 @@
             upstream.Upstream(settings.upstream),
         )
         self.relay.ended_hooks.append(self.handoff.add)
-        self.holder = holding.Holder(
+        self.holder = serving_lease.Holder(
             dialer,
             settings.control,
             self.announcement,
             rng,
         )
-        known = gate.Gate(clock.monotonic_seconds())
+        known = fencing_gate.Gate(clock.monotonic_seconds())
         self.holder.learn_fencing = known.learn
-        self.orders = passing.OrderService(
+        self.orders = engine_orders.OrderService(
             known,
             settings.upstream.base_url,
             self.relay,
--- a/cranberryrill/programs/command.py
+++ b/cranberryrill/programs/command.py
@@ -8,11 +8,11 @@
 import typing
 
 import cyclopts
-import uvloop
 import result
+import uvloop
 
 from cranberryrill import logs, tasks, tracing
-from cranberryrill.certificates import making
+from cranberryrill.certificates import issuing
 from cranberryrill.commands import config, keys, output, status, usage
 from cranberryrill.commands import settings as settings_commands
 from cranberryrill.programs import agent, control, entry, signals
@@ -95,8 +95,8 @@
     """
     now = datetime.datetime.now(datetime.UTC)
     try:
-        making.make_files(folder, now, address)
-    except (OSError, ValueError, making.UnusableAuthority) as error:
+        issuing.make_files(folder, now, address)
+    except (OSError, ValueError, issuing.UnusableAuthority) as error:
         output.fail(error)
     output.explain(f'certificates are in {folder}')
 
--- a/cranberryrill/programs/control.py
+++ b/cranberryrill/programs/control.py
@@ -5,9 +5,14 @@
 from tornado import httpserver, web
 
 from cranberryrill import clock, metrics, tasks, transport
-from cranberryrill.administration import api, members, office
-from cranberryrill.authority import holding
-from cranberryrill.programs import measuring, outside, replicating, running
+from cranberryrill.administration import api, members, operations
+from cranberryrill.authority import holder
+from cranberryrill.programs import (
+    measuring,
+    platform_duties,
+    replicating,
+    running,
+)
 from cranberryrill.replication import compacting
 from cranberryrill.settings import schema
 
@@ -41,11 +46,13 @@
         self.member = held.member
         self.directory = held.directory
         self.state = held.state
-        self.outside = outside.Outside(
+        self.outside = platform_duties.Outside(
             settings,
             dialer,
-            holding.Authority(held.member, held.proposer),
-            outside.Held(held.state, held.directory, held.orders, held.usage),
+            holder.Authority(held.member, held.proposer),
+            platform_duties.Held(
+                held.state, held.directory, held.orders, held.usage
+            ),
         )
         self.group = tasks.TaskGroup()
 
@@ -76,7 +83,7 @@
         self.group.check()
 
     def _administration(self) -> web.Application:
-        held = office.Office(
+        held = operations.Operations(
             self.member,
             self.state,
             self.directory,
--- a/cranberryrill/programs/core.py
+++ b/cranberryrill/programs/core.py
@@ -9,7 +9,7 @@
 from tornado import httpserver, web
 
 from cranberryrill import clock, tasks, transport
-from cranberryrill.authority import holding, sending
+from cranberryrill.authority import holder, sending
 from cranberryrill.forwarding import counting
 from cranberryrill.programs import recovering, replicating, running
 from cranberryrill.registry import registry_pb2
@@ -70,7 +70,7 @@
             self.replicated.proposer,
             self.replicated.state,
         )
-        self.authority = holding.Authority(
+        self.authority = holder.Authority(
             self.replicated.member,
             self.replicated.proposer,
         )
--- a/cranberryrill/programs/entry.py
+++ b/cranberryrill/programs/entry.py
@@ -12,13 +12,13 @@
     gateway,
     handlers,
     health,
+    readiness,
     receiving,
     services,
-    standing,
     withdrawing,
 )
 from cranberryrill.claims import claiming
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.programs import measuring, requests, running
 from cranberryrill.routing import making
 from cranberryrill.settings import schema
@@ -38,7 +38,7 @@
         self.incarnation = identifiers.new_identifier('entry')
         rng = random.SystemRandom()
         dialer = transport.Dialer(settings.process.tls)
-        self.holder = holding.Holder(
+        self.holder = serving_lease.Holder(
             dialer,
             settings.control,
             self.announcement,
@@ -56,7 +56,7 @@
                 submitting.Submitter(dialer, settings.control, rng),
             ),
         )
-        self.standing = standing.Standing()
+        self.standing = readiness.Readiness()
         self.open_requests: set[handlers.CallerHandler] = set()
         self.metrics = metrics.connect(settings.process.statsd)
         self.group = tasks.TaskGroup()
--- a/cranberryrill/programs/outside.py
+++ b/cranberryrill/programs/platform_duties.py
@@ -5,7 +5,7 @@
 
 from cranberryrill import tasks, transport
 from cranberryrill.authority import (
-    holding,
+    holder,
     intents,
     ordering,
     sending,
@@ -35,7 +35,7 @@
         self,
         settings: schema.ControlSettings,
         dialer: transport.Dialer,
-        authority: holding.Authority,
+        authority: holder.Authority,
         held: Held,
     ) -> None:
         self.settings = settings
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -18,7 +18,7 @@
     sharing,
     vocabulary,
 )
-from cranberryrill.membership import holding, membership_pb2
+from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.programs import running
 from cranberryrill.settings import fleet
 from cranberryrill.state import submitting
@@ -52,8 +52,10 @@
             transport.Address(host, settings.control_port)
             for host in settings.seed_hosts
         ]
-        self.holder = holding.Holder(dialer, control, self.announcement, rng)
-        self.holder.serving_lease = holding.lease_within(
+        self.holder = serving_lease.Holder(
+            dialer, control, self.announcement, rng
+        )
+        self.holder.serving_lease = serving_lease.lease_within(
             settings.bounds.revocation_ms / MILLISECONDS_PER_SECOND,
         )
         self.usage = counting.UsageCounter(
--- a/cranberryrill/usage/clock_reporting.py
+++ b/cranberryrill/usage/clock_reporting.py
@@ -10,7 +10,7 @@
 import result
 
 from cranberryrill import clock
-from cranberryrill.authority import backoff, holding, sending
+from cranberryrill.authority import backoff, holder, sending
 from cranberryrill.state import commands_pb2
 from cranberryrill.usage import clock_windows, timing, usage_pb2
 
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        authority: holding.Authority,
+        authority: holder.Authority,
         state: clock_windows.ClockWindowsState,
         sender: sending.Sender,
         written: ReportFormat,
--- a/cranberryrill/usage/reporting.py
+++ b/cranberryrill/usage/reporting.py
@@ -8,7 +8,7 @@
 import result
 
 from cranberryrill import clock
-from cranberryrill.authority import backoff, holding, sending
+from cranberryrill.authority import backoff, holder, sending
 from cranberryrill.state import commands_pb2
 from cranberryrill.usage import reports, timing, usage_pb2, windows
 
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        authority: holding.Authority,
+        authority: holder.Authority,
         state: windows.UsageState,
         sender: sending.Sender,
         window_seconds: float,
--- a/tests/authority/test_passing.py
+++ b/tests/authority/test_engine_orders.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cranberryrill.authority import authority_pb2, gate, passing
+from cranberryrill.authority import authority_pb2, engine_orders, fencing_gate
 
 HOST = '127.0.0.1'
 DONE = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
@@ -76,10 +76,10 @@
     """Stand before an engine, knowing holder 5."""
 
     def __init__(self, port: int) -> None:
-        self.gate = gate.Gate(started_at=0)
+        self.gate = fencing_gate.Gate(started_at=0)
         self.gate.learn(5, as_of=1)
         self.served = Served()
-        self.service = passing.OrderService(
+        self.service = engine_orders.OrderService(
             self.gate,
             f'http://{HOST}:{port}',
             self.served,
@@ -93,7 +93,7 @@
         """Take an order and return the verdict."""
         order = authority_pb2.EngineOrder(fencing=fencing, kind=kind)
         stream = Stream(order)
-        await self.service.Pass(typing.cast(passing.OrderStream, stream))
+        await self.service.Pass(typing.cast(engine_orders.OrderStream, stream))
         assert stream.answer is not None
         return int(stream.answer.verdict)
 
--- a/tests/authority/test_holding.py
+++ b/tests/authority/test_holder.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryrill.authority import holding, timing
+from cranberryrill.authority import holder, timing
 from cranberryrill.replication import member, proposing
 from cranberryrill.replication import timing as replication_timing
 
@@ -31,12 +31,12 @@
 def authority(
     lease_until: float,
     term: int = 4,
-) -> tuple[holding.Authority, holding.Tenure]:
-    held = holding.Authority(
+) -> tuple[holder.Authority, holder.Tenure]:
+    held = holder.Authority(
         typing.cast(member.Member, LeasedMember(lease_until, term)),
         typing.cast(proposing.Proposer, None),
     )
-    held.tenure = holding.Tenure(fencing=4, began_at=BEGAN)
+    held.tenure = holder.Tenure(fencing=4, began_at=BEGAN)
     return held, held.tenure
 
 
@@ -68,7 +68,7 @@
 
 def test_a_message_belongs_to_its_own_tenure() -> None:
     held, tenure = authority(lease_until=QUIET_UNTIL + 10)
-    held.tenure = holding.Tenure(fencing=4, began_at=BEGAN)
+    held.tenure = holder.Tenure(fencing=4, began_at=BEGAN)
     assert not held.may_send(tenure, QUIET_UNTIL)
 
 
--- a/tests/authority/test_ordering.py
+++ b/tests/authority/test_ordering.py
@@ -8,7 +8,7 @@
 
 from cranberryrill.authority import (
     authority_pb2,
-    holding,
+    holder,
     intents,
     ordering,
     sending,
@@ -17,7 +17,7 @@
 from cranberryrill.state import commands_pb2
 
 OLD_FENCING = 3
-TENURE = holding.Tenure(fencing=5, began_at=0)
+TENURE = holder.Tenure(fencing=5, began_at=0)
 
 
 class InCharge:
@@ -26,9 +26,9 @@
     def __init__(self, state: intents.AuthorityState) -> None:
         self.state = state
         self.stopping = False
-        self.tenure: holding.Tenure | None = TENURE
+        self.tenure: holder.Tenure | None = TENURE
 
-    def current(self, now: float) -> holding.Tenure | None:
+    def current(self, now: float) -> holder.Tenure | None:
         """Return the tenure."""
         return self.tenure
 
@@ -51,7 +51,7 @@
     async def send(
         self,
         message: sending.Message,
-        tenure: holding.Tenure,
+        tenure: holder.Tenure,
     ) -> sending.Sent:
         """Take a message under the present tenure."""
         assert tenure is TENURE
@@ -119,7 +119,7 @@
         self.rest = Rest()
         self.in_charge = InCharge(self.state)
         self.ordering = ordering.Ordering(
-            typing.cast(holding.Authority, self.in_charge),
+            typing.cast(holder.Authority, self.in_charge),
             self.state,
             typing.cast(sending.Sender, self.platform),
             Plan(stops_wanted),
--- a/tests/authority/test_sending.py
+++ b/tests/authority/test_sending.py
@@ -7,10 +7,10 @@
 import pytest
 import result
 
-from cranberryrill.authority import holding, sending
+from cranberryrill.authority import holder, sending
 
 HOST = '127.0.0.1'
-TENURE = holding.Tenure(fencing=7, began_at=0)
+TENURE = holder.Tenure(fencing=7, began_at=0)
 MESSAGE = sending.Message('/v1/upstreams/orders', 'order-1', b'{"number":1}')
 ACCEPTED = b'HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n'
 MOVED = (
@@ -64,7 +64,7 @@
     def __init__(self, permissions: int) -> None:
         self.permissions = permissions
 
-    def may_send(self, tenure: holding.Tenure, now: float) -> bool:
+    def may_send(self, tenure: holder.Tenure, now: float) -> bool:
         """Use up one permission."""
         self.permissions -= 1
         return self.permissions >= 0
@@ -74,7 +74,7 @@
     return sending.Sender(
         f'http://{HOST}:{receiver.port}',
         'control-0',
-        typing.cast(holding.Authority, Lease(permissions)),
+        typing.cast(holder.Authority, Lease(permissions)),
     )
 
 
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -10,7 +10,7 @@
 from tornado import httpserver, testing, web
 
 from cranberryrill import clock
-from cranberryrill.callers import chat, receiving, services, standing
+from cranberryrill.callers import chat, readiness, receiving, services
 from cranberryrill.configuration import document, serving
 from cranberryrill.keys import digests
 from cranberryrill.relay import deadlines, dispatching, numbers, relay_pb2
@@ -85,7 +85,7 @@
 
     def __init__(self) -> None:
         self.gateway = Gateway()
-        self.standing = standing.Standing()
+        self.standing = readiness.Readiness()
         shared: dict[str, typing.Any] = {
             'shared_gateway': self.gateway,
             'holder': Holder(),
--- a/tests/membership/test_holding.py
+++ b/tests/membership/test_serving_lease.py
@@ -5,10 +5,9 @@
 import pytest
 
 from cranberryrill import transport
-from cranberryrill.membership import holding, membership_pb2, timing
+from cranberryrill.membership import membership_pb2, serving_lease, timing
 from cranberryrill.state import commands_pb2
 
-
 NOW = 1000.0
 
 
@@ -20,9 +19,9 @@
 
 
 @pytest.fixture
-def holder() -> holding.Holder:
+def holder() -> serving_lease.Holder:
     """Return a holder that holds revision 5."""
-    fresh = holding.Holder(
+    fresh = serving_lease.Holder(
         NoDialer(),
         [],
         membership_pb2.Announcement,
@@ -40,31 +39,31 @@
     )
 
 
-def grant(holder: holding.Holder, revision: int, age_ms: int = 0) -> None:
+def grant(holder: serving_lease.Holder, revision: int, age_ms: int = 0) -> None:
     given = membership_pb2.Grant(sequence=1, revision=revision, age_ms=age_ms)
     holder._extend(given, {1: NOW}, NOW + 0.5)
 
 
-def test_older_state_is_not_taken(holder: holding.Holder) -> None:
+def test_older_state_is_not_taken(holder: serving_lease.Holder) -> None:
     holder._update(state_at(4, b'older'))
     assert holder.serving.revision == 5
     assert set(holder.serving.keys) == {b'newer'}
 
 
 def test_proof_of_an_older_revision_proves_nothing(
-    holder: holding.Holder,
+    holder: serving_lease.Holder,
 ) -> None:
     grant(holder, 4)
     assert not holder.may_serve(NOW)
 
 
-def test_lease_counts_from_the_sending(holder: holding.Holder) -> None:
+def test_lease_counts_from_the_sending(holder: serving_lease.Holder) -> None:
     grant(holder, 5, age_ms=1000)
     assert holder.may_serve(NOW + timing.SERVING_LEASE - 1.1)
     assert not holder.may_serve(NOW + timing.SERVING_LEASE - 1)
 
 
-def test_old_proof_does_not_keep_a_member(holder: holding.Holder) -> None:
+def test_old_proof_does_not_keep_a_member(holder: serving_lease.Holder) -> None:
     grant(holder, 5)
     proved_at = holder.proved_at
     grant(holder, 5, age_ms=200)
@@ -73,6 +72,6 @@
 
 
 def test_lease_keeps_a_shorter_revocation_time() -> None:
-    assert holding.lease_within(5) == timing.SERVING_LEASE
-    short = holding.lease_within(2)
+    assert serving_lease.lease_within(5) == timing.SERVING_LEASE
+    short = serving_lease.lease_within(2)
     assert short * (1 + timing.CLOCK_DRIFT) <= 2 - timing.REQUEST_UNDERWAY
