--- a/cranberryrill/programs/replicating.py
+++ b/cranberryrill/programs/replicating.py
@@ -103,22 +103,8 @@
             self.peers,
             self.proposer,
         )
-        self.watching = watching.MembershipService(
-            self.member,
-            self.state,
-            self.directory,
-            lambda: self.orders.highest_fencing,
-            self.registry,
-            self.roster,
-        )
-        self.exchange = exchanging.Exchange(
-            self.member.name,
-            self.directory,
-            self.peers,
-            self.state,
-            self.registry,
-            self.roster,
-        )
+        self.watching = self._make_watching()
+        self.exchange = self._make_exchange()
 
     @property
     def locked_since(self) -> float:
@@ -168,6 +154,26 @@
         self.peers.close()
         self.member.store.close()
 
+    def _make_watching(self) -> watching.MembershipService:
+        return watching.MembershipService(
+            self.member,
+            self.state,
+            self.directory,
+            lambda: self.orders.highest_fencing,
+            self.registry,
+            self.roster,
+        )
+
+    def _make_exchange(self) -> exchanging.Exchange:
+        return exchanging.Exchange(
+            self.member.name,
+            self.directory,
+            self.peers,
+            self.state,
+            self.registry,
+            self.roster,
+        )
+
     def _open_member(self, place: Place) -> member.Member:
         slices: list[machine.Slice] = [
             self.state,
--- a/cranberryrill/programs/router.py
+++ b/cranberryrill/programs/router.py
@@ -46,47 +46,22 @@
         self.incarnation = identifiers.new_identifier('entry')
         self.group = tasks.TaskGroup()
         self.unready = False
-        rng = random.Random(random.SystemRandom().random())
-        dialer = transport.Dialer(None)
-        control = [
-            transport.Address(host, settings.control_port)
-            for host in settings.seed_hosts
-        ]
-        self.holder = serving_lease.Holder(
-            dialer, control, self.announcement, rng
-        )
-        self.holder.serving_lease = serving_lease.lease_within(
-            settings.bounds.revocation_ms / MILLISECONDS_PER_SECOND,
-        )
-        self.usage = counting.UsageCounter(
-            submitting.Submitter(dialer, control, rng),
-            settings.name,
-            counting.TrueTime(
-                clock.monotonic_seconds(),
-                clock.unix_milliseconds(),
-            ),
-            settings.bounds.usage_window_seconds,
-        )
+        self.rng = random.Random(random.SystemRandom().random())
+        self.dialer = transport.Dialer(None)
+        self.holder = self._make_holder()
+        self.usage = self._make_usage()
         self.measured = instruments.Instruments()
         self.dispatcher = dispatcher.Dispatcher(
-            dispatcher.Setup(
-                names,
-                settings.data_centre,
-                budget.Bounds(
-                    settings.bounds.retry_ratio,
-                    settings.bounds.retry_slack,
-                    settings.bounds.retry_window_seconds,
-                ),
-            ),
+            dispatcher.Setup(names, settings.data_centre, self._retry_bounds()),
             self.holder,
             self.usage,
-            rng,
+            self.rng,
         )
         self.forwarder = forwarder.Forwarder(self.dispatcher, self.measured)
         self.callers = server.CallerServer(self.forwarder)
         self.follower = sharing.Follower(
             settings.name,
-            dialer,
+            self.dialer,
             self.dispatcher.others,
         )
 
@@ -152,6 +127,43 @@
         LOGGER.info('settings reloaded', extra={'seeds': settings.seeds})
         self.holder.learn_control(settings.seed_hosts)
 
+    def _control(self) -> list[transport.Address]:
+        port = self.settings.control_port
+        return [
+            transport.Address(host, port) for host in self.settings.seed_hosts
+        ]
+
+    def _make_holder(self) -> serving_lease.Holder:
+        made = serving_lease.Holder(
+            self.dialer,
+            self._control(),
+            self.announcement,
+            self.rng,
+        )
+        made.serving_lease = serving_lease.lease_within(
+            self.settings.bounds.revocation_ms / MILLISECONDS_PER_SECOND,
+        )
+        return made
+
+    def _make_usage(self) -> counting.UsageCounter:
+        return counting.UsageCounter(
+            submitting.Submitter(self.dialer, self._control(), self.rng),
+            self.settings.name,
+            counting.TrueTime(
+                clock.monotonic_seconds(),
+                clock.unix_milliseconds(),
+            ),
+            self.settings.bounds.usage_window_seconds,
+        )
+
+    def _retry_bounds(self) -> budget.Bounds:
+        bounds = self.settings.bounds
+        return budget.Bounds(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_seconds,
+        )
+
     async def _drain(
         self,
         listening: httpserver.HTTPServer,
