Give a data folder up that can not be opened

Cause: the folder is locked before the rest of the program is loaded, and that lock stayed open when the store could not be opened, for instance on a full disk; the next try of the same process then found the folder in use and the member ended. Found when reading the change; the test was red before.

Change: a store that can't be opened closes its disk, and with it the lock. The soak starts programs on a full disk, too.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -62,6 +62,7 @@
             self._wipe,
             self._clock,
             self._disk,
+            self._full_start,
             self._replica_link,
             self._peer_link,
         )
@@ -148,6 +149,15 @@
         await self._last()
         path.unlink()
 
+    async def _full_start(self, vm: fleet.Vm) -> None:
+        """Start a program on a full disk, which is emptied later."""
+        path = self.fleet.faults(vm) / 'full'
+        self.fleet.running[vm.name].kill()
+        path.touch()
+        self.fleet.start(vm)
+        await self._last()
+        path.unlink()
+
     async def _replica_link(self, vm: fleet.Vm) -> None:
         await self._harm(self.rng.choice(self.replica_links))
 
--- a/cranberryrill/replication/store.py
+++ b/cranberryrill/replication/store.py
@@ -39,17 +39,15 @@
         self.folder = folder
         self.disk = disk.Disk(folder, lock)
         self.path = folder / LOG_NAME
-        self.ballot = self._read_ballot()
-        self.snapshots = snapshots.Snapshots(self.disk)
         self.log = log.Log()
         # The offset behind the base and behind each entry.
         self.offsets: list[int] = []
-        self._read_log()
-        self._check_log()
-        self.identity = self._read_identity()
-        self.stream: typing.BinaryIO = self.path.open('ab')
-        # What was read may not have reached the disk before a crash.
-        os.fsync(self.stream.fileno())
+        try:
+            self.stream = self._open()
+        except BaseException:
+            # The lock may be older than this store, and is not to outlive it.
+            self.disk.close()
+            raise
 
     @property
     def group(self) -> replication_pb2.Group:
@@ -138,6 +136,17 @@
             self.stream.close()
         self.disk.close()
 
+    def _open(self) -> typing.BinaryIO:
+        self.ballot = self._read_ballot()
+        self.snapshots = snapshots.Snapshots(self.disk)
+        self._read_log()
+        self._check_log()
+        self.identity = self._read_identity()
+        stream = self.path.open('ab')
+        # What was read may not have reached the disk before a crash.
+        os.fsync(stream.fileno())
+        return stream
+
     def _read_ballot(self) -> replication_pb2.Ballot:
         content = files.read_one(self.folder / BALLOT_NAME)
         if content is None:
--- a/tests/replication/test_files.py
+++ b/tests/replication/test_files.py
@@ -1,11 +1,13 @@
-"""Read records back, whole, torn or damaged."""
+"""Read records back, whole, torn or damaged, and hold their folder."""
 
+import errno
+import os
 import pathlib
 
 import pytest
 
 from cranberryrill import clock
-from cranberryrill.replication import disk, files, folder_lock
+from cranberryrill.replication import disk, files, folder_lock, store
 
 FIRST = files.frame(b'first')
 
@@ -72,3 +74,20 @@
     assert held.lock.since == early.since
     held.close()
     assert folder_lock.take(tmp_path) is not None
+
+
+def test_a_folder_that_can_not_be_opened_is_given_up(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    early = folder_lock.take(tmp_path)
+
+    def fail(descriptor: int) -> None:
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, 'fsync', fail)
+        with pytest.raises(OSError, match='No space'):
+            store.Store(tmp_path, early)
+    # Whoever locked it early goes on when the disk takes writes again.
+    store.Store(tmp_path).close()
