Leave a connection open whose request was just read

A request had been read from the socket, but not looked at yet; its connection was closed, and the request passed on to a replica 2 ms later for nobody.

Change: a connection is idle only while its stream waits for bytes; and a request whose connection is closed by the time it is whole is not passed on. Both tests were red before.

--- a/cranberryrill/forwarding/server.py
+++ b/cranberryrill/forwarding/server.py
@@ -66,8 +66,11 @@
     def close_idle(self) -> None:
         """Close each connection on which no request has begun to arrive."""
         for intake in self.open_intakes():
-            if intake.line is None:
-                intake.connection.stream.close()
+            stream = intake.connection.stream
+            # What was read may not have been looked at yet: the stream reads
+            # no further until it has.
+            if intake.line is None and stream.reading():
+                stream.close()
 
     def begin(self) -> None:
         """Note a request that is being answered."""
@@ -111,6 +114,10 @@
 
     def finish(self) -> None:
         """Answer the request, which is whole now."""
+        if self.connection.stream.closed():
+            # Nobody would learn what became of it, so it isn't passed on.
+            LOGGER.info('connection closed before its request was served')
+            return
         self.connection.set_close_callback(self.on_connection_close)
         loop = asyncio.get_running_loop()
         self.task = loop.create_task(self._serve())
--- a/tests/forwarding/test_server.py
+++ b/tests/forwarding/test_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from tornado import testing
+from tornado import httputil, testing
 
 from cranberryrill import clock
 from cranberryrill.forwarding import forwarder, reply, server, terms
@@ -47,3 +47,64 @@
     assert not callers.open_intakes()
     writer.close()
     idle_writer.close()
+
+
+class Stream:
+    """Stand for a connection's bytes."""
+
+    def __init__(self, *, reading: bool = True) -> None:
+        self.reads = reading
+        self.is_closed = False
+
+    def reading(self) -> bool:
+        return self.reads
+
+    def closed(self) -> bool:
+        return self.is_closed
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class Connection:
+    """Stand for one connection."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+
+    def set_close_callback(self, called: typing.Any) -> None:
+        """Call nobody."""
+
+
+def open_intake(
+    callers: server.CallerServer,
+    stream: Stream,
+) -> httputil.HTTPMessageDelegate:
+    """Return what takes the next request of a connection."""
+    connection: typing.Any = Connection(stream)
+    return callers.start_request(connection, connection)
+
+
+async def test_connection_whose_request_was_just_read_is_not_idle() -> None:
+    slow: typing.Any = SlowForwarder()
+    callers = server.CallerServer(slow)
+    read, idle = Stream(reading=False), Stream()
+    held = [open_intake(callers, one) for one in (read, idle)]
+    callers.close_idle()
+    assert idle.closed()
+    assert not read.closed()
+    assert len(held) == 2
+
+
+async def test_request_of_a_closed_connection_is_not_passed_on() -> None:
+    slow = SlowForwarder()
+    callers = server.CallerServer(typing.cast(forwarder.Forwarder, slow))
+    stream = Stream()
+    intake = open_intake(callers, stream)
+    line = httputil.RequestStartLine('GET', '/x', 'HTTP/1.1')
+    intake.headers_received(line, httputil.HTTPHeaders())
+    stream.close()
+    intake.finish()
+    await asyncio.sleep(0.01)
+    assert not slow.taken.is_set()
+    assert not callers.busy
