Leave a member that brings no newer proof after 1.2 s, not later

Its member had lost the others; a watch is given up 1.2 s after the last fresher proof, but the same proof seemed fresher, by a millisecond or so, each time that a renewal took less time on its way.

Ruled out: the shorter silence of votes (no election in that time).

Change: a grant names its member's proof by its moment; a watch lasts only as long as that moment moves on. The test was red before.

--- a/cranberryrill/membership/serving_lease.py
+++ b/cranberryrill/membership/serving_lease.py
@@ -59,6 +59,8 @@
         self.serving_lease = timing.SERVING_LEASE
         # When this watch was opened, or last brought a fresher proof.
         self.proved_at = float('-inf')
+        # Which of its member's proofs this watch has brought.
+        self.proof_ms = 0
         # Called with a fencing number and the moment that it is proved for.
         self.learn_fencing: abc.Callable[[int, float], None] | None = None
         self.updated = asyncio.Condition()
@@ -117,6 +119,7 @@
     async def _follow(self, stream: WatchStream) -> None:
         sent_at: dict[int, float] = {}
         self.proved_at = first_proof_due(clock.monotonic_seconds())
+        self.proof_ms = 0
         await asyncio.wait_for(stream.send_request(), timing.FIRST_PROOF)
         renewing = asyncio.create_task(self._renew(stream, sent_at))
         try:
@@ -189,8 +192,10 @@
         as_of = asked_at - grant.age_ms / MILLISECONDS_PER_SECOND
         if as_of > self.fresh_as_of:
             self.fresh_as_of = as_of
-            self.proved_at = now
             self.first_proof.set()
+            if grant.proof_ms > self.proof_ms:
+                self.proof_ms = grant.proof_ms
+                self.proved_at = now
         if self.learn_fencing is not None:
             self.learn_fencing(grant.fencing, as_of)
 
--- a/cranberryrill/membership/watching.py
+++ b/cranberryrill/membership/watching.py
@@ -98,6 +98,7 @@
             grant = membership_pb2.Grant(
                 sequence=sequence,
                 age_ms=int(age * MILLISECONDS_PER_SECOND) + 1,
+                proof_ms=int(fresh.as_of * MILLISECONDS_PER_SECOND),
                 revision=self.revision,
                 fencing=self.service.fencing(),
             )
--- a/tests/membership/test_serving_lease.py
+++ b/tests/membership/test_serving_lease.py
@@ -39,9 +39,21 @@
     )
 
 
-def grant(holder: serving_lease.Holder, revision: int, age_ms: int = 0) -> None:
-    given = membership_pb2.Grant(sequence=1, revision=revision, age_ms=age_ms)
-    holder._extend(given, {1: NOW}, NOW + 0.5)
+def grant(
+    holder: serving_lease.Holder,
+    revision: int,
+    age_ms: int = 0,
+    *,
+    proof_ms: int = 1,
+    asked_at: float = NOW,
+) -> None:
+    given = membership_pb2.Grant(
+        sequence=1,
+        revision=revision,
+        age_ms=age_ms,
+        proof_ms=proof_ms,
+    )
+    holder._extend(given, {1: asked_at}, asked_at + 0.5)
 
 
 def test_older_state_is_not_taken(holder: serving_lease.Holder) -> None:
@@ -71,6 +83,19 @@
     assert holder.patience(proved_at + timing.WATCH_SILENCE) == 0
 
 
+def test_the_same_proof_does_not_keep_a_member(
+    holder: serving_lease.Holder,
+) -> None:
+    grant(holder, 5, age_ms=100, proof_ms=7)
+    proved_at = holder.proved_at
+    # The next renewal took 3 ms less on its way: the same proof seems newer.
+    grant(holder, 5, age_ms=597, proof_ms=7, asked_at=NOW + 0.5)
+    assert holder.may_serve(NOW)
+    assert holder.proved_at == proved_at
+    grant(holder, 5, age_ms=100, proof_ms=8, asked_at=NOW + 0.5)
+    assert holder.proved_at > proved_at
+
+
 def test_lease_keeps_a_shorter_revocation_time() -> None:
     assert serving_lease.lease_within(5) == timing.SERVING_LEASE
     short = serving_lease.lease_within(2)
