Let a class aim above its floor by the time that slots may be held

Urgent requests of 3.5 s take seven of eight slots just after the class was paused on schedule; its next slot is due after 0.5 s and free after 3. The floor takes slots only when they are freed, but its margin of a quarter covers a wait of 2 s. Change: the margin follows the average service time of the running higher tiers, up to half a period, and is half a period while none has ended. The second slot is due at 0.5 slot-seconds instead of 1.

--- a/cranberryrill/scheduling/queues.py
+++ b/cranberryrill/scheduling/queues.py
@@ -14,10 +14,13 @@
 TOLERATED_DEBT_SLOT_SECONDS = 0.25
 TOLERATED_PERIOD_SHARE = 0.2
 # A shortfall above this entitles the class to one further slot.
-LARGE_SHORTFALL_SLOT_SECONDS = 1.0
+LARGE_SHORTFALL_SLOT_SECONDS = 0.5
 # Service is given in whole requests. A class aims above its floor, because a
 # period could otherwise fall short by part of a request.
-FLOOR_MARGIN_FACTOR = 1.25
+MIN_FLOOR_MARGIN_FACTOR = 1.25
+# Largest part of a period that is planned for without a free slot. A class that
+# has to wait longer would need more than twice its floor in the rest.
+MAX_SLOT_WAIT_SHARE = 0.5
 
 
 class ClassQueue:
@@ -66,10 +69,13 @@
         """Return how many requests run without being preempted."""
         return sum(not ticket.preempted.is_set() for ticket in self.running)
 
-    def update_floor_debt(self, slots: int, now: float) -> None:
+    def update_floor_debt(
+        self, slots: int, slot_wait_seconds: float, now: float
+    ) -> None:
         """Update debt and shortfall for the time since the last call.
 
-        Both are reset while nothing waits.
+        Both are reset while nothing waits. `slot_wait_seconds` is how long the
+        class may have to wait until a slot is freed for it.
         """
         elapsed = max(now - self.debt_updated_at, 0)
         self.debt_updated_at = now
@@ -82,7 +88,7 @@
         limit = floor_slots * FLOOR_PERIOD_SECONDS
         self.shortfall += (floor_slots - len(self.running)) * elapsed
         self.shortfall = min(max(self.shortfall, -limit), limit)
-        target_slots = floor_slots * FLOOR_MARGIN_FACTOR
+        target_slots = floor_slots * floor_margin_factor(slot_wait_seconds)
         self.debt += (target_slots - len(self.running)) * elapsed
         # Service beyond the target earns no credit: with a credit, a whole
         # period could pass without any service.
@@ -163,3 +169,16 @@
     def _all_waiting(self) -> typing.Iterator[tickets.Ticket]:
         for queue in self.waiting.values():
             yield from queue
+
+
+def floor_margin_factor(slot_wait_seconds: float) -> float:
+    """Return how far above its floor a class aims, as a factor.
+
+    A floor takes a slot only when one is freed. When higher tiers hold every
+    slot, that may take as long as their requests run, and the rest of the
+    period must make up for it.
+    """
+    wait_share = min(
+        slot_wait_seconds / FLOOR_PERIOD_SECONDS, MAX_SLOT_WAIT_SHARE
+    )
+    return max(1 / (1 - wait_share), MIN_FLOOR_MARGIN_FACTOR)
--- a/cranberryrill/scheduling/selection.py
+++ b/cranberryrill/scheduling/selection.py
@@ -1,5 +1,6 @@
 """Select the class to run next and the running request to preempt."""
 
+import math
 from collections import abc
 
 from cranberryrill.scheduling import queues, tickets
@@ -91,6 +92,28 @@
     return class_queue.waiting_count() + len(class_queue.running)
 
 
+def slot_wait_seconds(
+    classes: abc.Iterable[queues.ClassQueue],
+    class_queue: queues.ClassQueue,
+) -> float:
+    """Return how long higher tiers may hold every slot, in seconds.
+
+    This is the longest average service time of a higher tier with running
+    requests, as they are never preempted for the class. It is infinite while
+    none of a tier's requests has ended, since they may run for any time.
+    """
+    return max(
+        (
+            queue.service_seconds.value
+            if queue.service_seconds.has_samples
+            else math.inf
+            for queue in classes
+            if queue.level.tier < class_queue.level.tier and queue.running
+        ),
+        default=0,
+    )
+
+
 def slots_beyond_floor(class_queue: queues.ClassQueue, slots: int) -> int:
     """Return how many slots a class occupies beyond its entitlement."""
     return max(
--- a/cranberryrill/scheduling/tiers.py
+++ b/cranberryrill/scheduling/tiers.py
@@ -124,8 +124,10 @@
         )
 
     def _update_floor_debts(self, now: float) -> None:
-        for class_queue in self.classes.values():
-            class_queue.update_floor_debt(self.slots, now)
+        classes = self.classes.values()
+        for class_queue in classes:
+            slot_wait = selection.slot_wait_seconds(classes, class_queue)
+            class_queue.update_floor_debt(self.slots, slot_wait, now)
 
     def _class_queue_for(
         self,
--- a/tests/scheduling/test_tiers_properties.py
+++ b/tests/scheduling/test_tiers_properties.py
@@ -164,6 +164,52 @@
     assert not upstream.judge.missed_floors(steps * STEP)
 
 
+@pytest.mark.parametrize(
+    'bursts',
+    [
+        # Urgent requests of 3.5 s hold all slots but one for 3 s.
+        [
+            (273, 'draft', 'c', 1, 1, 21),
+            (126, 'review', 'b', 57, 8, 56),
+            (321, 'draft', 'b', 19, 5, 13),
+            (93, 'notes', 'c', 12, 8, 63),
+            (270, 'urgent', 'c', 32, 5, 70),
+            (325, 'review', 'b', 59, 4, 25),
+            (87, 'urgent', 'c', 39, 8, 73),
+            (207, 'draft', 'a', 6, 3, 69),
+        ],
+        # Urgent requests hold every slot before the first of them has ended.
+        [
+            (260, 'draft', 'b', 57, 8, 17),
+            (35, 'draft', 'c', 22, 3, 73),
+            (49, 'notes', 'b', 31, 5, 8),
+            (373, 'notes', 'b', 58, 8, 14),
+            (148, 'urgent', 'b', 21, 4, 74),
+            (176, 'review', 'c', 30, 8, 24),
+            (0, 'notes', 'b', 40, 3, 28),
+        ],
+        # A class falls behind by part of a slot-second several times.
+        [
+            (257, 'notes', 'b', 39, 6, 16),
+            (77, 'urgent', 'c', 22, 1, 66),
+            (218, 'notes', 'b', 7, 2, 62),
+            (167, 'notes', 'c', 15, 8, 24),
+            (211, 'review', 'a', 38, 0, 10),
+            (22, 'review', 'a', 47, 6, 42),
+        ],
+    ],
+)
+def test_floor_holds_while_higher_tiers_hold_the_slots(
+    bursts: list[tuple[int, str, str, int, int, int]],
+) -> None:
+    arrivals = itertools.chain.from_iterable(
+        burst(*parameters) for parameters in bursts
+    )
+    upstream = run(list(arrivals), 600)
+    assert not upstream.judge.violations
+    assert not upstream.judge.missed_floors(600 * STEP)
+
+
 @hypothesis.settings(SETTINGS, max_examples=4)
 @hypothesis.given(
     hypothesis.strategies.lists(
