Bound the response of an upstream in bytes, and in time while bytes come

Cause: bytes that are no answer may come without end. An event that never ends grew in memory without a limit, in entry and agent; a body was relayed beyond the deadline as long as content was always ready, because only a wait looked at the clock; heads ended at curl's own 300 kB, without a cause. The agent also said "not run" when an upstream answered with bytes that are no HTTP: curl reports these as an unsupported protocol, which stood among the errors before sending. Ruled out: callers (Tornado's limits hold; tests keep it so). Change: settings for the bytes of head, body and event, the deadline checked before each read, a cause for curl errors without a text, and no claim of "not run" for an unsupported protocol.

--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -16,6 +16,7 @@
     retry_budget,
     upstreams,
 )
+from cranberryrill.settings import response_limits
 
 FRAMING_HEADERS = ('content-length', 'transfer-encoding')
 
@@ -53,6 +54,7 @@
     names: http_names.HttpNames
     driver: curl_multi.Driver
     data_centre: str
+    response_limits: response_limits.ResponseLimits
 
     async def wait_in_queue(
         self, admitted: admission.Admitted
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -78,7 +78,9 @@
         self.attempt_count += 1
         self.upstream_id = upstream.id
         call = exchange.Exchange(
-            self._outgoing_request(choice, now), self.context.driver
+            self._outgoing_request(choice, now),
+            self.context.driver,
+            self.context.response_limits,
         )
         is_decode_heavy = decode_pool.is_decode_heavy(self.admitted.metadata)
         upstream.start_request(
@@ -166,11 +168,11 @@
         """Relay a response that is too large to buffer."""
         await self._start(call, body)
         while call.ending is None or call.content:
+            if not await self._wait(call):
+                return attempts.timed_out()
             content = call.read_content()
             if content:
                 await self.reply.write(content)
-            elif not await self._wait(call):
-                return attempts.timed_out()
         if not isinstance(call.ending, exchange.Complete):
             return attempts.Failed(
                 failures.Ran.unknown, attempts.failure_cause(call)
@@ -181,22 +183,25 @@
     async def _relay_events(
         self, call: exchange.Exchange
     ) -> attempts.Failed | None:
-        while True:
-            content = call.read_content()
-            complete = self.events.feed(content) if content else b''
+        while call.ending is None or call.content:
+            if not await self._wait(call):
+                self.events.drop_partial()
+                return attempts.timed_out()
+            complete = self.events.feed(call.read_content())
             if complete:
                 await self._relay(call, complete)
-            elif call.ending is not None and not call.content:
-                break
-            elif not await self._wait(call):
+            limit = self.context.response_limits.event_bytes
+            if len(self.events.partial) > limit:
                 self.events.drop_partial()
-                return attempts.timed_out()
+                return attempts.Failed(
+                    failures.Ran.unknown, f'an event of over {limit} bytes'
+                )
         return await self._end_events(call)
 
     async def _end_events(
         self, call: exchange.Exchange
     ) -> attempts.Failed | None:
-        partial = self.events.partial
+        partial = bytes(self.events.partial)
         self.events.drop_partial()
         if not isinstance(call.ending, exchange.Complete):
             return attempts.Failed(
@@ -344,7 +349,16 @@
             self.context.count_started_request(self.admitted, now)
 
     async def _wait(self, call: exchange.Exchange) -> bool:
-        return await call.wait(self.admitted.deadline - self._now())
+        """Wait until there is more of a response; False once it is overdue.
+
+        A response that has ended is never overdue.
+        """
+        if call.ending is not None:
+            return True
+        seconds_left = self.admitted.deadline - self._now()
+        if seconds_left <= 0:
+            return False
+        return bool(call.content) or await call.wait(seconds_left)
 
     def _now(self) -> float:
         return clock.monotonic_seconds()
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -23,6 +23,7 @@
     usage_counter,
 )
 from cranberryrill.membership import membership_pb2, serving_lease
+from cranberryrill.settings import response_limits
 from cranberryrill.traffic import document, route_table
 
 LOGGER = logging.getLogger(__name__)
@@ -41,6 +42,7 @@
     data_centre: str
     # Retry limits of each service, shared by all entries.
     retry_limits: retry_budget.RetryLimits
+    response_limits: response_limits.ResponseLimits
 
 
 class Dispatcher:
@@ -59,6 +61,7 @@
         self.names = options.names
         self.data_centre = options.data_centre
         self.retry_limits = options.retry_limits
+        self.response_limits = options.response_limits
         self.holder = holder
         self.usage = usage
         self.rng = rng
--- a/cranberryrill/forwarding/events.py
+++ b/cranberryrill/forwarding/events.py
@@ -1,6 +1,7 @@
 """Split a server-sent event stream at event boundaries."""
 
 EVENT_SEPARATORS = (b'\n\n', b'\r\n\r\n')
+MAX_SEPARATOR_BYTES = 4
 ID_FIELD = b'id:'
 
 
@@ -12,33 +13,36 @@
     """
 
     def __init__(self) -> None:
-        self.partial = b''
+        self.partial = bytearray()
         self.last_id = ''
         self.event_count = 0
 
     def feed(self, content: bytes) -> bytes:
         """Add received bytes and return the events that are now complete."""
+        # Bytes searched before can only hold the start of a separator.
+        searched = max(len(self.partial) - MAX_SEPARATOR_BYTES, 0)
         self.partial += content
-        end = (
-            max(
-                self.partial.rfind(separator) + len(separator)
-                for separator in EVENT_SEPARATORS
-                if separator in self.partial
-            )
-            if any(separator in self.partial for separator in EVENT_SEPARATORS)
-            else 0
+        end = max(
+            _end_of_last(self.partial, separator, searched)
+            for separator in EVENT_SEPARATORS
         )
-        complete = self.partial[:end]
-        self.partial = self.partial[end:]
+        complete = bytes(self.partial[:end])
+        del self.partial[:end]
         self._track_ids(complete)
         return complete
 
     def drop_partial(self) -> None:
         """Discard the incomplete event at the end of the buffer."""
-        self.partial = b''
+        self.partial.clear()
 
     def _track_ids(self, complete: bytes) -> None:
         for line in complete.splitlines():
             if line.startswith(ID_FIELD):
                 self.event_count += 1
                 self.last_id = line[len(ID_FIELD) :].strip().decode('latin-1')
+
+
+def _end_of_last(content: bytearray, separator: bytes, start: int) -> int:
+    """Return where the last separator at or after `start` ends; 0 if none."""
+    position = content.rfind(separator, start)
+    return position + len(separator) if position >= 0 else 0
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -12,9 +12,12 @@
 import pycurl
 
 from cranberryrill.forwarding import curl_multi
+from cranberryrill.settings import response_limits
 
 STATUS_LINE_PREFIX = 'HTTP/'
 MIN_FINAL_STATUS = 200
+# Returned to curl in place of the number of bytes taken, it ends the transfer.
+ABORT = -1
 # The transfer is paused while more of the body than this is buffered, until
 # the buffer is read.
 MAX_UNREAD_BYTES = 1024 * 1024
@@ -73,15 +76,22 @@
     """
 
     def __init__(
-        self, request: OutgoingRequest, driver: curl_multi.Driver
+        self,
+        request: OutgoingRequest,
+        driver: curl_multi.Driver,
+        limits: response_limits.ResponseLimits,
     ) -> None:
         self.request = request
         self.driver = driver
+        self.limits = limits
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.has_head = False
         self.content = bytearray()
-        self.received_bytes = 0
+        self.head_bytes = 0
+        self.body_bytes = 0
+        # The limit that the response has exceeded; empty if none.
+        self.excess = ''
         self.ending: Ending | None = None
         self.changed = asyncio.Event()
         self.curl: typing.Any = None
@@ -178,10 +188,17 @@
         )
         return [line.encode('latin-1') for line in lines]
 
-    def _on_header(self, line: bytes) -> None:
-        if self.has_head:
-            # Trailers after the body are not forwarded.
-            return
+    def _on_header(self, line: bytes) -> int | None:
+        # Trailers after the body count, too, but are not forwarded.
+        self.head_bytes += len(line)
+        if self.head_bytes > self.limits.head_bytes:
+            self.excess = f'a head of over {self.limits.head_bytes} bytes'
+            return ABORT
+        if not self.has_head:
+            self._read_header(line)
+        return None
+
+    def _read_header(self, line: bytes) -> None:
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith(STATUS_LINE_PREFIX) and not self.headers:
             self.status = _parse_status(text)
@@ -199,8 +216,11 @@
         if len(self.content) > MAX_UNREAD_BYTES:
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
+        if self.body_bytes + len(content) > self.limits.body_bytes:
+            self.excess = f'a body of over {self.limits.body_bytes} bytes'
+            return ABORT
         self.content += content
-        self.received_bytes += len(content)
+        self.body_bytes += len(content)
         self.changed.set()
         return None
 
@@ -212,7 +232,8 @@
         elif error_code in CONNECT_ERRORS and not sent_bytes:
             self.ending = Unsent(error_text)
         else:
-            self.ending = Interrupted(error_text or 'the answer had no head')
+            cause = self.excess or error_text or _cause_of(error_code)
+            self.ending = Interrupted(cause)
         self.changed.set()
 
 
@@ -220,3 +241,10 @@
     parts = line.split(' ', 2)
     code = parts[1] if len(parts) > 1 else ''
     return int(code) if code.isascii() and code.isdigit() else 0
+
+
+def _cause_of(error_code: int) -> str:
+    """Return the cause of a failure that curl doesn't describe."""
+    if error_code == pycurl.E_OK:
+        return 'the answer had no head'
+    return f'curl error {error_code}'
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -53,7 +53,10 @@
         self.instruments = instruments.Instruments()
         self.dispatcher = dispatcher.Dispatcher(
             dispatcher.DispatcherOptions(
-                names, settings.data_centre, self._retry_bounds()
+                names,
+                settings.data_centre,
+                self._retry_bounds(),
+                settings.responses,
             ),
             self.holder,
             self.usage,
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -15,6 +15,7 @@
     timing,
     token_counter,
 )
+from cranberryrill.settings import response_limits
 
 LOGGER = logging.getLogger(__name__)
 PRIORITY_HEADER = 'X-Priority'
@@ -34,13 +35,13 @@
         'last-modified',
     )
 )
-# Errors with which curl fails before it has sent anything.
+# Errors with which curl fails before it has sent anything. An unsupported
+# protocol is none of them: curl also reports it for an answer that is no HTTP.
 NOT_SENT_ERRORS = frozenset(
     (
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     )
 )
 BODILESS_STATUSES = frozenset(
@@ -48,6 +49,8 @@
 )
 KEEPALIVE_SECONDS = 1
 STATUS_DIGITS = 3
+# Returned to curl in place of the number of bytes taken, it ends the transfer.
+ABORT = -1
 
 
 class Transfer:
@@ -62,15 +65,19 @@
         call: relay_pb2.Call,
         answer: answers.Answer,
         preempted: asyncio.Event,
+        limits: response_limits.ResponseLimits,
         now: float,
     ) -> None:
         self.call = call
+        self.limits = limits
         self.answer = answer
         self.preempted = preempted
         # Only the first exchange sets the status and headers of the answer.
         self.is_resumption = answer.head is not None
         self.streams_events = False
-        self.partial_event = b''
+        self.partial_event = bytearray()
+        self.head_bytes = 0
+        self.body_bytes = 0
         self.status = 0
         self.has_length = False
         self.returned_headers: list[relay_pb2.Header] = []
@@ -173,7 +180,7 @@
         if self.call.is_model and not self.call.streamed:
             self.counter.count_body(bytes(self.answer.content))
         self._start_answer()
-        self.answer.extend(self.partial_event)
+        self.answer.extend(bytes(self.partial_event))
         self.answer.complete(now)
 
     def fail(self, error: Exception, now: float) -> None:
@@ -191,9 +198,20 @@
         )
         self.answer.fail('upstream_failed', cause, ran, now)
 
-    def on_header(self, line: bytes) -> None:
-        """Handle one line of the head of the final or an interim answer."""
+    def on_header(self, line: bytes) -> int | None:
+        """Handle one line of the head of the final or an interim answer.
+
+        Return None, or `ABORT` to make curl abort.
+        """
         self.received_bytes += len(line)
+        self.head_bytes += len(line)
+        if self.head_bytes > self.limits.head_bytes:
+            self.abort_reason = f'a head of over {self.limits.head_bytes} bytes'
+            return ABORT
+        self._read_header(line)
+        return None
+
+    def _read_header(self, line: bytes) -> None:
         text = line.decode('latin-1').strip()
         if text.startswith('HTTP/'):
             self.status = _parse_status(text)
@@ -213,8 +231,8 @@
     def on_content(self, content: bytes) -> int:
         """Handle a part of the body and return the number of bytes taken.
 
-        0 makes curl abort; `WRITEFUNC_PAUSE` makes it pause and pass the same
-        part again later.
+        0 or `ABORT` makes curl abort; `WRITEFUNC_PAUSE` makes it pause and pass
+        the same part again later.
         """
         if self.answer.end is not None or self.answer.cancelled.is_set():
             return 0
@@ -224,9 +242,16 @@
         if self._readers_lag():
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        self.received_bytes += len(content)
-        if self._resumption_failed():
-            return len(content)
+        size = len(content)
+        self.received_bytes += size
+        self.body_bytes += size
+        if self.body_bytes > self.limits.body_bytes:
+            self.abort_reason = f'a body of over {self.limits.body_bytes} bytes'
+        elif not self._resumption_failed():
+            self._append(content)
+        return ABORT if self.abort_reason else size
+
+    def _append(self, content: bytes) -> None:
         self._start_answer()
         if self.call.streamed:
             self.counter.feed(content)
@@ -234,18 +259,21 @@
             self._extend_by_whole_events(content)
         else:
             self.answer.extend(content)
-        return len(content)
 
     def _extend_by_whole_events(self, content: bytes) -> None:
         # After a resumption the upstream sends an interrupted event again, so
         # only whole events are passed on.
+        # The last byte searched before may be the start of a separator.
+        searched = max(len(self.partial_event) - 1, 0)
         self.partial_event += content
-        events_end = self.partial_event.rfind(EVENT_SEPARATOR) + len(
-            EVENT_SEPARATOR
-        )
-        if events_end >= len(EVENT_SEPARATOR):
-            self.answer.extend(self.partial_event[:events_end])
-            self.partial_event = self.partial_event[events_end:]
+        last = self.partial_event.rfind(EVENT_SEPARATOR, searched)
+        if last >= 0:
+            events_end = last + len(EVENT_SEPARATOR)
+            self.answer.extend(bytes(self.partial_event[:events_end]))
+            del self.partial_event[:events_end]
+        limit = self.limits.event_bytes
+        if len(self.partial_event) > limit:
+            self.abort_reason = f'an event of over {limit} bytes'
 
     def _resumption_failed(self) -> bool:
         return self.is_resumption and self.status != http.HTTPStatus.OK
--- a/cranberryrill/relay/upstream.py
+++ b/cranberryrill/relay/upstream.py
@@ -35,6 +35,7 @@
             call,
             answer,
             preempted,
+            self.settings.responses,
             clock.monotonic_seconds(),
         )
         request = self._request(call, exchange)
--- a/cranberryrill/settings/fleet.py
+++ b/cranberryrill/settings/fleet.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from cranberryrill import transport
+from cranberryrill.settings import response_limits
 
 STRICT = pydantic.ConfigDict(extra='forbid')
 
@@ -161,6 +162,7 @@
         ),
     ] = 1200
     bounds: Bounds = Bounds()
+    responses: response_limits.ResponseLimits = response_limits.ResponseLimits()
     outside: ExternalPlatform | None = None
     log_level: typing.Annotated[
         str,
--- a/cranberryrill/settings/schema.py
+++ b/cranberryrill/settings/schema.py
@@ -9,6 +9,7 @@
 import pydantic_core
 
 from cranberryrill import metrics, transport
+from cranberryrill.settings import response_limits
 
 STRICT = pydantic.ConfigDict(extra='forbid')
 MEBIBYTE = 1024 * 1024
@@ -258,6 +259,7 @@
             pattern='^(tiers|first-come)$',
         ),
     ] = 'tiers'
+    responses: response_limits.ResponseLimits = response_limits.ResponseLimits()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -11,9 +11,10 @@
 from cranberryrill.forwarding import (
     curl_multi,
     exchange,
-    response_kind,
     http_names,
+    response_kind,
 )
+from cranberryrill.settings import response_limits
 
 NAMES = http_names.HttpNames()
 SUCCESS = (
@@ -78,7 +79,7 @@
         body,
     )
     driver = curl_multi.Driver()
-    call = exchange.Exchange(request, driver)
+    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
     call.start()
     async with asyncio.timeout(5):
         while call.ending is None:
@@ -125,7 +126,7 @@
     await server.wait_closed()
     driver = curl_multi.Driver()
     request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
-    call = exchange.Exchange(request, driver)
+    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
     call.start()
     async with asyncio.timeout(5):
         while call.ending is None:
@@ -187,7 +188,7 @@
     port = await upstream.start()
     driver = curl_multi.Driver()
     request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
-    call = exchange.Exchange(request, driver)
+    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
     call.start()
     await asyncio.sleep(0.1)
     call.stop()
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -5,7 +5,9 @@
 import pytest
 
 from cranberryrill.relay import answers, relay_pb2, transfer
+from cranberryrill.settings import response_limits
 
+LIMITS = response_limits.ResponseLimits()
 BODY = b'{"choices": []}'
 EVENT = b'data: {"choices": [1]}\n\n'
 
@@ -21,7 +23,7 @@
     call = relay_pb2.Call(is_model=True, idempotent=True, streamed=streamed)
     answer = answers.Answer('req-1', call, 0)
     preempted = asyncio.Event()
-    exchange = transfer.Transfer(call, answer, preempted, 0)
+    exchange = transfer.Transfer(call, answer, preempted, LIMITS, 0)
     exchange.on_header(b'HTTP/1.1 200 OK\r\n')
     exchange.on_header(f'Content-Type: {content_type}\r\n'.encode())
     exchange.on_header(b'Content-Length: 15\r\n')
@@ -56,7 +58,7 @@
         timeout_ms=timeout_ms,
     )
     answer = answers.Answer('req-1', call, 0)
-    return transfer.Transfer(call, answer, asyncio.Event(), 0)
+    return transfer.Transfer(call, answer, asyncio.Event(), LIMITS, 0)
 
 
 def test_silent_service_is_aborted_at_the_deadline() -> None:
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -1,6 +1,7 @@
 """Each request is sent once, and the end of its answer is classified."""
 
 import asyncio
+import contextlib
 import io
 import socket
 import threading
@@ -13,9 +14,10 @@
 from bench import web
 from cranberryrill import clock
 from cranberryrill.relay import answers, relay_pb2, upstream
-from cranberryrill.settings import schema
+from cranberryrill.settings import response_limits, schema
 
 HOST = '127.0.0.1'
+DEFAULT_LIMITS = response_limits.ResponseLimits()
 CREATED = b'HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok'
 # Number of requests that a connection answers before it is closed.
 ANSWERED_REQUESTS = 1
@@ -110,10 +112,15 @@
     return answer, server
 
 
-async def send(port: int, call: relay_pb2.Call) -> answers.Answer:
+async def send(
+    port: int,
+    call: relay_pb2.Call,
+    limits: response_limits.ResponseLimits = DEFAULT_LIMITS,
+) -> answers.Answer:
     settings = schema.UpstreamSettings(
         base_url=f'http://{HOST}:{port}',
         target='desk',
+        responses=limits,
     )
     answer = new_answer(call)
     client = upstream.Upstream(settings)
@@ -222,6 +229,73 @@
     assert answer.head.status == status
 
 
+class EndlessServer:
+    """Server that sends a start, then a part until the connection closes."""
+
+    def __init__(self, start: bytes, part: bytes) -> None:
+        self.start = start
+        self.part = part
+        self.closed = threading.Event()
+        self.listener = socket.create_server((HOST, 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self) -> None:
+        connection, _ = self.listener.accept()
+        with connection, contextlib.suppress(OSError):
+            read_request(connection)
+            connection.sendall(self.start)
+            while True:
+                connection.sendall(self.part)
+        self.closed.set()
+
+
+EVENT_STREAM = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: x\n\n'
+)
+
+
+@pytest.mark.parametrize(
+    ('start', 'part', 'cause', 'ran'),
+    [
+        (
+            b'HTTP/1.1 200 OK\r\n',
+            b'X-More: z\r\n',
+            'a head of over',
+            relay_pb2.Ran.YES,
+        ),
+        (
+            b'',
+            b'HTTP/1.1 103 Hints\r\n\r\n',
+            'a head of over',
+            relay_pb2.Ran.UNKNOWN,
+        ),
+        (b'', b'no answer ' * 99, 'HTTP', relay_pb2.Ran.UNKNOWN),
+        (
+            b'HTTP/1.1 200 OK\r\n\r\n',
+            b'x' * 4096,
+            'a body of over',
+            relay_pb2.Ran.YES,
+        ),
+        (EVENT_STREAM, b'x' * 4096, 'an event of over', relay_pb2.Ran.YES),
+    ],
+)
+async def test_answer_without_end_fails(
+    start: bytes, part: bytes, cause: str, ran: relay_pb2.Ran
+) -> None:
+    server = EndlessServer(start, part)
+    limits = response_limits.ResponseLimits(20_000, 600_000, 100_000)
+    call = relay_pb2.Call(method='POST', path='/x', streamed=True)
+    answer = await send(server.port, call, limits)
+    server.listener.close()
+    assert isinstance(answer.end, relay_pb2.Failed)
+    assert answer.end.code == 'upstream_failed'
+    assert cause in answer.end.message
+    assert answer.end.ran == ran
+    assert answer.length() <= 600_000
+    assert server.closed.wait(RUN_SECONDS)
+
+
 async def test_answer_to_head_has_no_body() -> None:
     script = b'HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n'
     answer, _ = await run(script, method='HEAD')
