Keep upstreams that a restarted control group has not met again

All four control VMs lose power at 5.2 s and are back at 7.3 s. The first update of the new members replaces what the four other entries know, before the upstreams' heartbeats (every 1.2 s) have reached them: for 1.2 s of the burst requests are placed on 1 to 5 of 9 engines that all run on. Ruled out: an expiry (five heartbeats), the watch (found again in 0.3 s). Change: a member's updates add and remove single upstreams until 1.25 heartbeats after its start, and only then replace the whole. Upstreams that are known to have ended are removed at once.

--- a/cranberryrill/membership/watch_service.py
+++ b/cranberryrill/membership/watch_service.py
@@ -117,7 +117,7 @@
         process_directory = self.service.directory
         if not process_directory.is_ready(self.service.member.peers, now):
             return
-        update = self.registry_cursor.next_update(self.service.registry)
+        update = self.registry_cursor.next_update(self.service.registry, now)
         if update is not None:
             await self.stream.send_message(
                 membership_pb2.Push(registry=update),
--- a/cranberryrill/programs/replicated_state.py
+++ b/cranberryrill/programs/replicated_state.py
@@ -95,7 +95,9 @@
             fixed=options.fixed,
         )
         self.directory = directory.Directory(clock.monotonic_seconds())
-        self.registry = table.RegistrationTable(options.heartbeat_seconds)
+        self.registry = table.RegistrationTable(
+            options.heartbeat_seconds, clock.monotonic_seconds()
+        )
         self.proposer = proposals.Proposer(self.member, self.peers)
         self.founder = group_founder.Founder(
             self.member,
--- a/cranberryrill/registry/cursor.py
+++ b/cranberryrill/registry/cursor.py
@@ -10,28 +10,43 @@
         self.sent: dict[str, registry_pb2.Registration] = {}
         # Table version of the last update; -1 before the first one.
         self.version = -1
+        # Whether the watcher has been sent a full update.
+        self.is_synchronized = False
 
     def next_update(
-        self, registry: table.RegistrationTable
+        self, registry: table.RegistrationTable, now: float
     ) -> registry_pb2.RegistryUpdate | None:
         """Return the changes since the last update, or None without any.
 
-        The first update is full: it contains every registration.
+        A full update contains every registration and replaces all that the
+        watcher knew. It is sent once the table is complete. Until then the
+        watcher keeps the upstreams that it knows from elsewhere, as a member
+        that has restarted knows an upstream only from its next heartbeat on.
         """
-        if registry.version == self.version:
+        full = not self.is_synchronized and registry.is_complete(now)
+        if registry.version == self.version and not full:
             return None
-        full = self.version < 0
         self.version = registry.version
+        self.is_synchronized = self.is_synchronized or full
         present = registry.registrations()
         update = registry_pb2.RegistryUpdate(
             full=full,
             present=[
                 registration
                 for name, registration in present.items()
-                if name not in self.sent
+                if full
+                or name not in self.sent
                 or table.routing_differs(self.sent[name], registration)
             ],
-            gone=[name for name in self.sent if name not in present],
+            gone=sorted(self._gone(registry, present)),
         )
         self.sent = present
         return update
+
+    def _gone(
+        self,
+        registry: table.RegistrationTable,
+        present: dict[str, registry_pb2.Registration],
+    ) -> set[str]:
+        gone = {name for name in self.sent if name not in present}
+        return gone if self.is_synchronized else gone | registry.ended()
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -30,7 +30,13 @@
     def __init__(
         self,
         heartbeat_seconds: float = timing.DEFAULT_HEARTBEAT_SECONDS,
+        started_at: float = 0,
     ) -> None:
+        # From then on each living upstream has sent a heartbeat since the start
+        # of this process, at `started_at` in monotonic seconds.
+        self.complete_from = (
+            started_at + heartbeat_seconds * timing.FIRST_HEARTBEAT_FACTOR
+        )
         self.lifetime_seconds = heartbeat_seconds * timing.MISSED_HEARTBEATS
         self.records: dict[str, Record] = {}
         # Increases with each stored record, heartbeats included.
@@ -94,6 +100,14 @@
         }
         return silent
 
+    def is_complete(self, now: float) -> bool:
+        """Return whether every living upstream has had time to register."""
+        return now >= self.complete_from
+
+    def ended(self) -> set[str]:
+        """Return the upstreams that are known to have ended."""
+        return {name for name, record in self.records.items() if record.removed}
+
     def registrations(self) -> dict[str, registry_pb2.Registration]:
         """Return the registrations of the upstreams that have not ended."""
         return {
--- a/tests/registry/test_table.py
+++ b/tests/registry/test_table.py
@@ -100,13 +100,13 @@
     registry = table.RegistrationTable()
     watcher = cursor.Cursor()
     registry.record(registration(sequence=1), NOW)
-    first = watcher.next_update(registry)
+    first = watcher.next_update(registry, NOW)
     assert first is not None and first.full
     registry.record(registration(sequence=2), NOW + 1)
-    assert watcher.next_update(registry) is None
+    assert watcher.next_update(registry, NOW) is None
     registry.record(registration(sequence=3, leaving=True), NOW + 2)
-    changed = watcher.next_update(registry)
+    changed = watcher.next_update(registry, NOW)
     assert changed is not None and changed.present[0].leaving
     registry.remove('u1', NOW + 3)
-    gone = watcher.next_update(registry)
+    gone = watcher.next_update(registry, NOW)
     assert gone is not None and list(gone.gone) == ['u1']
