Bound the placement decisions of a period by the number of upstreams

A queue examines up to 12 requests every 20 ms, and each costs a placement decision that grows with the upstreams: 89 microseconds at 9, 235 at 28, 381 at 47, 787 at 100 (300 decisions each, this machine). At 47 that is 23 in 100 of a core while a burst waits, more than the entries of a large fleet have.

--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -198,7 +198,9 @@
 
     def _gate_for(self, service: str) -> gate.Gate:
         if service not in self.gates:
-            self.gates[service] = gate.Gate()
+            self.gates[service] = gate.Gate(
+                lambda: len(self.pool.for_service(service))
+            )
         return self.gates[service]
 
     def _backlog_ms(self, admitted: admission.Admitted) -> float:
--- a/cranberryrill/forwarding/gate.py
+++ b/cranberryrill/forwarding/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections import abc
 
 from cranberryrill import clock
 from cranberryrill.forwarding import request_queue
@@ -25,10 +26,12 @@
 class Gate:
     """Queue of one service with the task that releases its requests.
 
-    The task runs only while requests wait.
+    The task runs only while requests wait. `count_upstreams` returns how many
+    upstreams the service has now.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, count_upstreams: abc.Callable[[], int]) -> None:
+        self.count_upstreams = count_upstreams
         self.queue = request_queue.RequestQueue()
         # Whether each waiting request may be sent, by the request's `id()`.
         self.futures: dict[int, asyncio.Future[bool]] = {}
@@ -63,7 +66,9 @@
             for expired_request in self.queue.expired(now):
                 self.queue.remove(expired_request)
                 self._resolve(expired_request, may_send=False)
-            chosen = self.queue.pop_ready(now)
+            chosen = self.queue.pop_ready(
+                now, request_queue.examined_requests(self.count_upstreams())
+            )
             if chosen is not None:
                 self._resolve(chosen, may_send=True)
             await asyncio.sleep(DISPATCH_PERIOD_SECONDS)
--- a/cranberryrill/forwarding/request_queue.py
+++ b/cranberryrill/forwarding/request_queue.py
@@ -30,9 +30,11 @@
 RATE_SMOOTHING_WEIGHT = 0.05
 # With fewer tokens, the time to the first event is mostly other delays.
 MIN_MEASURED_TOKENS = 3000
-# Number of requests, in order, of which one may be sent. Each costs a placement
-# decision per period.
+# Number of requests, in order, of which one may be sent in a period. Examining
+# one costs a placement decision, whose time grows with the upstreams: about 8
+# microseconds for each.
 MAX_EXAMINED_REQUESTS = 12
+MAX_EXAMINED_UPSTREAMS = 200
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -124,6 +126,15 @@
     )
 
 
+def examined_requests(upstream_count: int) -> int:
+    """Return how many requests to examine in a period.
+
+    The processor time of a period is bounded, however many upstreams there are.
+    """
+    affordable = MAX_EXAMINED_UPSTREAMS // max(upstream_count, 1)
+    return min(max(affordable, 1), MAX_EXAMINED_REQUESTS)
+
+
 def would_expire(request: QueuedRequest, wait_ms: float) -> bool:
     """Return whether a request would expire within the given wait."""
     max_wait = request.expires_at - request.arrived_at
@@ -154,20 +165,23 @@
         """Return the number of prompt tokens of all queued requests."""
         return sum(request.tokens for request in self.waiting)
 
-    def pop_ready(self, now: float) -> QueuedRequest | None:
-        """Remove and return the request to send now.
+    def pop_ready(
+        self, now: float, examined: int = MAX_EXAMINED_REQUESTS
+    ) -> QueuedRequest | None:
+        """Remove and return the request to send now, one of the first few.
 
         The order is by rank, then requests that can still meet their target,
         then the shortest target, then the organisation with the fewest tokens
         sent, then the oldest. A request is passed over while the backlog of the
         upstream that it would go to is too large for it: one that goes to
-        another upstream doesn't delay it. None if no request may be sent.
+        another upstream doesn't delay it. None if none of the first `examined`
+        requests may be sent.
         """
         ordered = sorted(
             self.waiting,
             key=lambda request: self._sort_key(request, now),
         )
-        for request in ordered[:MAX_EXAMINED_REQUESTS]:
+        for request in ordered[:examined]:
             if request.backlog_ms() <= request.max_backlog_ms:
                 self._take(request)
                 return request
--- a/tests/forwarding/test_request_queue.py
+++ b/tests/forwarding/test_request_queue.py
@@ -6,6 +6,8 @@
 import dataclasses
 import functools
 
+import pytest
+
 from cranberryrill.forwarding import request_queue
 from tests.forwarding import conftest
 
@@ -147,3 +149,24 @@
     sound_ends = sorted(ends)[:56]
     assert max(sound_ends) < 4
     assert not queue.waiting
+
+
+EXAMINED_BY_UPSTREAM_COUNT = ((0, 12), (9, 12), (28, 7), (47, 4), (1600, 1))
+
+
+@pytest.mark.parametrize(
+    ('upstream_count', 'expected'), EXAMINED_BY_UPSTREAM_COUNT
+)
+def test_large_services_examine_fewer_requests_in_a_period(
+    upstream_count: int, expected: int
+) -> None:
+    assert request_queue.examined_requests(upstream_count) == expected
+
+
+def test_requests_beyond_the_examined_ones_wait() -> None:
+    queue = request_queue.RequestQueue()
+    for number in range(4):
+        backlog_ms = 0 if number == 3 else 500
+        queue.add(make_request(backlog_ms, arrived_at=NOW + number / 100))
+    assert queue.pop_ready(NOW, examined=3) is None
+    assert queue.pop_ready(NOW, examined=4) is not None
