--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -11,6 +11,7 @@
     admission,
     curl_multi,
     exchange,
+    headers,
     http_names,
     placement,
     retry_budget,
@@ -18,6 +19,8 @@
 )
 from cranberryrill.settings import response_limits
 
+MILLISECONDS_PER_SECOND = 1000
+LOWEST_PRIORITY = 9
 FRAMING_HEADERS = ('content-length', 'transfer-encoding')
 
 
@@ -112,6 +115,40 @@
     return f'{upstream.registration.host}:{upstream.registration.port}'
 
 
+def outgoing_request(
+    admitted: admission.Admitted,
+    choice: placement.Choice,
+    names: http_names.HttpNames,
+    last_event_id: str,
+    now: float,
+) -> exchange.OutgoingRequest:
+    """Return an admitted request as it is sent to the chosen upstream.
+
+    `last_event_id` is empty unless a stream is resumed.
+    """
+    upstream = choice.upstream
+    left_ms = (admitted.deadline - now) * MILLISECONDS_PER_SECOND
+    priority = None
+    if admitted.service.engine is not None:
+        priority = min(admitted.rank, LOWEST_PRIORITY)
+    added = headers.AddedHeaders(
+        expected_upstream=upstream.id,
+        deadline_ms=max(int(left_ms), 1),
+        organisation=admitted.organisation,
+        priority=priority,
+        fetch_from=address_of(choice.fetch_from),
+        last_event_id=last_event_id,
+    )
+    return exchange.OutgoingRequest(
+        upstream.registration.host,
+        upstream.registration.port,
+        admitted.request.method,
+        admitted.request.target,
+        tuple(headers.for_upstream(admitted.request, names, added)),
+        admitted.request.body,
+    )
+
+
 def failed_before_head(
     call: exchange.Exchange, upstream: upstreams.Upstream, now: float
 ) -> Failed:
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -18,11 +18,9 @@
 )
 
 LOGGER = logging.getLogger(__name__)
-MILLISECONDS_PER_SECOND = 1000
 # A larger response is relayed before it is complete; the request can then no
 # longer be retried.
 MAX_BUFFERED_BYTES = 262_144
-LOWEST_PRIORITY = 9
 
 
 class Delivery:
@@ -316,31 +314,9 @@
     def _outgoing_request(
         self, choice: placement.Choice, now: float
     ) -> exchange.OutgoingRequest:
-        upstream = choice.upstream
-        admitted = self.admitted
-        left_ms = (admitted.deadline - now) * MILLISECONDS_PER_SECOND
-        priority = None
-        if admitted.service.engine is not None:
-            priority = min(admitted.rank, LOWEST_PRIORITY)
-        added = headers.AddedHeaders(
-            expected_upstream=upstream.id,
-            deadline_ms=max(int(left_ms), 1),
-            organisation=admitted.organisation,
-            priority=priority,
-            fetch_from=attempts.address_of(choice.fetch_from),
-            last_event_id=self.events.last_id if self.reply.started else '',
-        )
-        return exchange.OutgoingRequest(
-            upstream.registration.host,
-            upstream.registration.port,
-            admitted.request.method,
-            admitted.request.target,
-            tuple(
-                headers.for_upstream(
-                    admitted.request, self.context.names, added
-                )
-            ),
-            admitted.request.body,
+        last_event_id = self.events.last_id if self.reply.started else ''
+        return attempts.outgoing_request(
+            self.admitted, choice, self.context.names, last_event_id, now
         )
 
     def _count_start(self, now: float) -> None:
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -11,6 +11,7 @@
 from cranberryrill import clock, failures
 from cranberryrill.forwarding import (
     admission,
+    cache_fetch,
     curl_multi,
     decode_pool,
     gate,
@@ -19,6 +20,7 @@
     placement,
     request_queue,
     retry_budget,
+    retry_policy,
     upstreams,
     usage_counter,
 )
@@ -28,10 +30,6 @@
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
-# Refusals carry a random retry delay in this range if there is no better
-# estimate of when capacity will be free.
-MIN_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -144,16 +142,14 @@
             extra={
                 'request_id': admitted.metadata.attempt_id,
                 'expected_wait_ms': int(wait_ms),
-                'waited_ms': int(
-                    (now - admitted.request.received_at)
-                    * MILLISECONDS_PER_SECOND
-                ),
+                'waited_ms': _milliseconds(now - admitted.request.received_at),
             },
         )
         return failures.NoPlace(
             'too much waits for the upstreams',
-            retry_after_seconds=self.rng.uniform(MAX_RETRY_SECONDS, 1)
-            * max(wait_ms / MILLISECONDS_PER_SECOND, MAX_RETRY_SECONDS),
+            retry_after_seconds=retry_policy.queue_delay_seconds(
+                wait_ms / MILLISECONDS_PER_SECOND, self.rng.random()
+            ),
         )
 
     def _competing_routes(
@@ -199,7 +195,7 @@
     def _gate_for(self, service: str) -> gate.Gate:
         if service not in self.gates:
             self.gates[service] = gate.Gate(
-                lambda: len(self.pool.for_service(service))
+                functools.partial(self.pool.for_service, service)
             )
         return self.gates[service]
 
@@ -219,9 +215,9 @@
         return self._prefill_rate_for(service).prefill_ms(tokens / engines)
 
     def _prefill_rate_for(self, service: str) -> request_queue.PrefillRate:
-        if service not in self.prefill_rates:
-            self.prefill_rates[service] = request_queue.PrefillRate()
-        return self.prefill_rates[service]
+        return self.prefill_rates.setdefault(
+            service, request_queue.PrefillRate()
+        )
 
     def record_response_start(
         self,
@@ -263,13 +259,11 @@
                     'tokens': admitted.metadata.prompt_tokens,
                     'output_tokens': admitted.metadata.output_tokens,
                     'version': admitted.version,
-                    'waited_ms': int(
-                        (now - admitted.request.received_at)
-                        * MILLISECONDS_PER_SECOND
+                    'waited_ms': _milliseconds(
+                        now - admitted.request.received_at
                     ),
-                    'proof_age_ms': int(
-                        (now - self.holder.fresh_as_of)
-                        * MILLISECONDS_PER_SECOND
+                    'proof_age_ms': _milliseconds(
+                        now - self.holder.fresh_as_of
                     ),
                 },
             )
@@ -310,7 +304,7 @@
             peer_prefill_tokens=self.peer_loads.prefill_tokens,
             peer_open_requests=self.peer_loads.open_requests,
             peer_decode_heavy_requests=self.peer_loads.decode_heavy_requests,
-            fetch_cost_ratio=placement.fetch_cost_ratio(
+            fetch_cost_ratio=cache_fetch.fetch_cost_ratio(
                 engine.token_bytes,
                 engine.link_mbps,
                 self._prefill_rate_for(admitted.service.name).tokens_per_ms,
@@ -318,9 +312,8 @@
         )
 
     def _decode_peak_for(self, service: str) -> decode_pool.DecodeHeavyPeak:
-        if service not in self.decode_heavy_peaks:
-            self.decode_heavy_peaks[service] = decode_pool.DecodeHeavyPeak()
-        return self.decode_heavy_peaks[service]
+        new_peak = decode_pool.DecodeHeavyPeak()
+        return self.decode_heavy_peaks.setdefault(service, new_peak)
 
     def retry_budget_for(
         self, service: str, now: float
@@ -353,4 +346,8 @@
 
     def backoff(self, admitted: admission.Admitted, now: float) -> float:
         """Return the delay in seconds before a refused caller should retry."""
-        return self.rng.uniform(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS)
+        return retry_policy.backoff_seconds(self.rng.random())
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * MILLISECONDS_PER_SECOND)
--- a/cranberryrill/forwarding/gate.py
+++ b/cranberryrill/forwarding/gate.py
@@ -26,12 +26,12 @@
 class Gate:
     """Queue of one service with the task that releases its requests.
 
-    The task runs only while requests wait. `count_upstreams` returns how many
-    upstreams the service has now.
+    The task runs only while requests wait. `candidates` returns the upstreams
+    that the service has now.
     """
 
-    def __init__(self, count_upstreams: abc.Callable[[], int]) -> None:
-        self.count_upstreams = count_upstreams
+    def __init__(self, candidates: abc.Callable[[], abc.Sized]) -> None:
+        self.candidates = candidates
         self.queue = request_queue.RequestQueue()
         # Whether each waiting request may be sent, by the request's `id()`.
         self.futures: dict[int, asyncio.Future[bool]] = {}
@@ -67,7 +67,7 @@
                 self.queue.remove(expired_request)
                 self._resolve(expired_request, may_send=False)
             chosen = self.queue.pop_ready(
-                now, request_queue.examined_requests(self.count_upstreams())
+                now, request_queue.examined_requests(len(self.candidates()))
             )
             if chosen is not None:
                 self._resolve(chosen, may_send=True)
--- a/cranberryrill/forwarding/placement.py
+++ b/cranberryrill/forwarding/placement.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-from cranberryrill.forwarding import caller_request, upstreams
+from cranberryrill.forwarding import cache_fetch, caller_request, upstreams
 
 # Costs for model engines are in prompt tokens: the number of tokens that an
 # engine prefills in the time by which the first output token is delayed.
@@ -36,16 +36,6 @@
 # pool: for each decode-heavy request open there, and for each token to prefill.
 DELAYED_REQUEST_COST_TOKENS = 800
 WRONG_POOL_PREFILL_FACTOR = 2
-# Cached parts are fetched from another upstream only if this saves the prefill
-# of at least this many tokens. A fetched token costs at least this fraction of
-# a prefilled one, since the links are fast but not free.
-MIN_FETCHED_TOKENS = 512
-MIN_FETCH_COST_RATIO = 0.25
-# Fetching a token must take at most this fraction of the time of prefilling it,
-# since fetches wait for one another on a link.
-MAX_FETCH_COST_RATIO = 0.7
-BITS_PER_BYTE = 8
-BITS_PER_MS_PER_MBPS = 1000
 # Upper bound of the delay between data centres.
 CROSS_DATA_CENTRE_COST_TOKENS = 150
 # Cost of an upstream all of whose requests fail.
@@ -170,7 +160,7 @@
         costs = {
             upstream.id: self._engine_cost(
                 upstream,
-                effective_missing_tokens(
+                cache_fetch.effective_missing_tokens(
                     missing[upstream.id],
                     missing_at_source,
                     request.fetch_cost_ratio or 1,
@@ -182,11 +172,14 @@
             for upstream in usable
         }
         best = min(usable, key=lambda upstream: costs[upstream.id])
-        fetches = missing[best.id] - missing_at_source >= MIN_FETCHED_TOKENS
+        fetches = (
+            missing[best.id] - missing_at_source
+            >= cache_fetch.MIN_FETCHED_TOKENS
+        )
         return Choice(
             best,
             int(
-                effective_missing_tokens(
+                cache_fetch.effective_missing_tokens(
                     missing[best.id],
                     missing_at_source,
                     request.fetch_cost_ratio or 1,
@@ -299,36 +292,6 @@
     return sum(upstream.prefill_tokens.values()) + peer_tokens
 
 
-def fetch_cost_ratio(
-    token_bytes: int, link_mbps: float, prefill_tokens_per_ms: float
-) -> float | None:
-    """Return what fetching a cached token costs compared with prefilling it.
-
-    None if the size of a token or the speed of the links is not configured, or
-    if prefill is about as fast.
-    """
-    if token_bytes <= 0 or link_mbps <= 0:
-        return None
-    fetch_ms = token_bytes * BITS_PER_BYTE / (link_mbps * BITS_PER_MS_PER_MBPS)
-    ratio = fetch_ms * prefill_tokens_per_ms
-    if ratio > MAX_FETCH_COST_RATIO:
-        return None
-    return max(ratio, MIN_FETCH_COST_RATIO)
-
-
-def effective_missing_tokens(
-    missing: int, missing_at_source: int, cost_ratio: float
-) -> float:
-    """Return the prefill cost in tokens, given what the source has cached.
-
-    Fetched tokens count at `cost_ratio`; too few of them aren't fetched.
-    """
-    fetched = missing - missing_at_source
-    if fetched < MIN_FETCHED_TOKENS:
-        return missing
-    return missing_at_source + fetched * cost_ratio
-
-
 def _wrong_pool_cost(
     upstream: upstreams.Upstream,
     missing: float,
--- a/cranberryrill/forwarding/retry_policy.py
+++ b/cranberryrill/forwarding/retry_policy.py
@@ -10,6 +10,10 @@
 MAX_REJECTIONS = 3
 # With less time left, another attempt is not worthwhile.
 MIN_SECONDS_LEFT = 0.03
+# Refusals carry a random retry delay in this range if there is no better
+# estimate of when capacity will be free.
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,3 +54,20 @@
     if not progress.runs:
         return True
     return route.repeatable and progress.runs < route.max_attempts
+
+
+def backoff_seconds(sampled: float) -> float:
+    """Return a retry delay without an estimate of when capacity is free.
+
+    `sampled`, a random number from 0 to 1, spreads the retries.
+    """
+    return MIN_RETRY_SECONDS + (MAX_RETRY_SECONDS - MIN_RETRY_SECONDS) * sampled
+
+
+def queue_delay_seconds(wait_seconds: float, sampled: float) -> float:
+    """Return the retry delay of a request that would wait for too long.
+
+    The queue empties during the wait; retries are spread over its second half.
+    """
+    spread = MAX_RETRY_SECONDS + (1 - MAX_RETRY_SECONDS) * sampled
+    return spread * max(wait_seconds, MAX_RETRY_SECONDS)
