--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,14 +3,25 @@
 import pathlib
 import signal
 import subprocess
+import weakref
 
 STOP_TIMEOUT_SECONDS = 20.0
+REPORTED_LINES = 5
 
 
 class NotRunning(Exception):
     """The process was not started."""
 
 
+def ended_reports() -> list[str]:
+    """Return the name, exit code and last lines of each ended process."""
+    return [
+        process.report()
+        for process in sorted(Process.started, key=_name)
+        if not process.is_running()
+    ]
+
+
 class Process:
     """Child process whose output is appended to a log file.
 
@@ -18,6 +29,9 @@
     that of the parent.
     """
 
+    # Those that were started and are still referred to.
+    started: 'weakref.WeakSet[Process]' = weakref.WeakSet()
+
     def __init__(
         self,
         name: str,
@@ -41,6 +55,15 @@
                 stdin=subprocess.DEVNULL,
                 env=self.environment,
             )
+        self.started.add(self)
+
+    def report(self) -> str:
+        """Return the exit code and the last lines of the output."""
+        code = None if self.popen is None else self.popen.poll()
+        lines = self.log.read_text(errors='replace').splitlines()
+        return '\n  '.join(
+            (f'{self.name} ended with {code}', *lines[-REPORTED_LINES:])
+        )
 
     def send(self, signal_number: int) -> None:
         """Send a signal to the process, if it was started."""
@@ -69,3 +92,7 @@
     def is_running(self) -> bool:
         """Return whether the process runs."""
         return self.popen is not None and self.popen.poll() is None
+
+
+def _name(process: Process) -> str:
+    return process.name
