Log which members a group can't be founded without

Two members waited 30 s for a third that had ended, and wrote no line. A member that can neither found nor join a group now logs `waiting for a group`, with the members that didn't answer and those that have been in a group, once in 10 s.

--- a/cranberryrill/replication/group_founder.py
+++ b/cranberryrill/replication/group_founder.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
+from collections import abc
 
-from cranberryrill import identifiers, transport
+from cranberryrill import clock, identifiers, transport
 from cranberryrill.replication import (
     groups,
     member,
@@ -13,6 +14,8 @@
 )
 
 LOGGER = logging.getLogger(__name__)
+# A member that waits for a group logs it once in this time.
+LOG_PERIOD_SECONDS = 10.0
 
 
 class Founder:
@@ -36,6 +39,7 @@
             founding_members = (local.name, *local.peers)
         # Empty if this member must not found a group: one was founded before.
         self.founding_members = founding_members
+        self.wait_logged_at = float('-inf')
 
     async def run(self) -> None:
         """Found or offer the group until its log has an entry."""
@@ -45,10 +49,10 @@
             if self.member.group.members:
                 await self._offer_to_all(self.member.group)
             else:
-                await self.found()
+                await self.found(clock.monotonic_seconds())
             await asyncio.sleep(timing.FOUNDING_PERIOD_SECONDS)
 
-    async def found(self) -> None:
+    async def found(self, now: float) -> None:
         """Found a group if this member sorts first and all others are new."""
         answers = await self._offer_to_all(replication_pb2.Group())
         with_disk = [
@@ -57,6 +61,7 @@
             if name not in answers or not answers[name].diskless
         ]
         if self.member.name != min(with_disk):
+            self._log_wait(answers, now)
             return
         new_voters = {
             name: answer.identity
@@ -64,6 +69,7 @@
             if answer.free
         }
         if len(new_voters) < len(with_disk) - 1:
+            self._log_wait(answers, now)
             return
         voters = {**new_voters, self.member.name: self.member.identity}
         group = groups.make(identifiers.new_identifier('group'), voters)
@@ -85,6 +91,29 @@
             return False
         return not self.member.group.members and not self.member.term
 
+    def _log_wait(
+        self, answers: abc.Mapping[str, replication_pb2.FoundAnswer], now: float
+    ) -> None:
+        """Log which members prevent the founding, at a bounded rate."""
+        if now < self.wait_logged_at + LOG_PERIOD_SECONDS:
+            return
+        self.wait_logged_at = now
+        LOGGER.info(
+            'waiting for a group',
+            extra={
+                'missing': [
+                    name
+                    for name in self.founding_members
+                    if name not in answers and name != self.member.name
+                ],
+                'not_new': [
+                    name
+                    for name, answer in answers.items()
+                    if not answer.free and not answer.diskless
+                ],
+            },
+        )
+
     async def _offer_to_all(
         self,
         group: replication_pb2.Group,
--- a/tests/replication/test_groups.py
+++ b/tests/replication/test_groups.py
@@ -133,14 +133,14 @@
 
 async def test_group_is_founded_once(fresh: member.Member) -> None:
     founder = make_founder(fresh, b=True, c=True)
-    await founder.found()
+    await founder.found(0)
     first = fresh.group.id
     assert groups.identities(fresh.group) == {
         'a': fresh.identity,
         'b': 'id-b',
         'c': 'id-c',
     }
-    await founder.found()
+    await founder.found(0)
     assert fresh.group.id == first
 
 
@@ -149,7 +149,7 @@
     fresh: member.Member,
     free: dict[str, bool],
 ) -> None:
-    await make_founder(fresh, **free).found()
+    await make_founder(fresh, **free).found(0)
     assert not fresh.group.members
 
 
@@ -160,11 +160,11 @@
     local = member.Member('b', ('a', 'c'), disk, machine.Machine([]), 0)
     peers = FoundingPeers({'a': False, 'c': True})
     second = group_founder.Founder(local, typing.cast(typing.Any, peers))
-    await second.found()
+    await second.found(0)
     # The member that sorts first may have a disk and found a group.
     assert not local.group.members
     peers.diskless = ('a',)
-    await second.found()
+    await second.found(0)
     assert set(groups.identities(local.group)) == {'b', 'c'}
     disk.close()
 
