--- a/bench/measurements.py
+++ b/bench/measurements.py
@@ -7,16 +7,15 @@
 import types
 import typing
 
-from hdrh import histogram
+from ddsketch import ddsketch
 
 from bench import decision_checker, load_generator, scenarios
 from cranberryrill.configuration import document
 from cranberryrill.scheduling import decisions, levels
 
 MILLISECONDS_PER_SECOND = 1000
-MAX_LATENCY_MS = 60_000
-SIGNIFICANT_DIGITS = 3
-PERCENTILE = 95
+RELATIVE_ACCURACY = 0.001
+QUANTILE = 0.95
 # Requests due in the last seconds of a run don't count in the organisations'
 # shares: the end of the run may cut their answers off.
 SETTLING_SECONDS = 3.0
@@ -83,15 +82,15 @@
         for outcome in outcomes
         if outcome.request.flow.class_name == level.name
     ]
-    first = histogram.HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
-    between = histogram.HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+    first = ddsketch.DDSketch(RELATIVE_ACCURACY)
+    between = ddsketch.DDSketch(RELATIVE_ACCURACY)
     gaps = 0
     gaps_in_time = 0
     for outcome in own:
         if outcome.tokens:
-            first.record_value(_milliseconds(outcome.first_token))
+            first.add(_milliseconds(outcome.first_token))
         for gap in outcome.gaps:
-            between.record_value(_milliseconds(gap))
+            between.add(_milliseconds(gap))
             gaps += 1
             gaps_in_time += _milliseconds(gap) <= level.between_tokens_ms
     return ClassMeasurement(
@@ -99,8 +98,8 @@
         len(own),
         sum(is_in_time(one) for one in own) / max(len(own), 1),
         gaps_in_time / max(gaps, 1),
-        first.get_value_at_percentile(PERCENTILE),
-        between.get_value_at_percentile(PERCENTILE),
+        first.get_quantile_value(QUANTILE) or 0,
+        between.get_quantile_value(QUANTILE) or 0,
     )
 
 
--- a/bench/stream_load.py
+++ b/bench/stream_load.py
@@ -6,14 +6,12 @@
 import random
 import time
 
-from hdrh import histogram
+from ddsketch import ddsketch
 from tornado import httpclient
 
 from cranberryrill import identifiers
 
-MIN_MICROSECONDS = 1
-MAX_MICROSECONDS = 600_000_000
-SIGNIFICANT_DIGITS = 3
+RELATIVE_ACCURACY = 0.001
 MICROSECONDS_PER_SECOND = 1_000_000
 MICROSECONDS_PER_MILLISECOND = 1000
 ANSWER_TIMEOUT_SECONDS = 120
@@ -40,8 +38,8 @@
     """Token durations in microseconds, with counts of requests and tokens."""
 
     def __init__(self) -> None:
-        self.first_token = _histogram()
-        self.between_tokens = _histogram()
+        self.first_token = ddsketch.DDSketch(RELATIVE_ACCURACY)
+        self.between_tokens = ddsketch.DDSketch(RELATIVE_ACCURACY)
         self.answered = 0
         self.failed = 0
         self.tokens = 0
@@ -55,17 +53,10 @@
         return _milliseconds(self.between_tokens, percent)
 
 
-def _histogram() -> histogram.HdrHistogram:
-    return histogram.HdrHistogram(
-        MIN_MICROSECONDS,
-        MAX_MICROSECONDS,
-        SIGNIFICANT_DIGITS,
-    )
-
-
-def _milliseconds(durations: histogram.HdrHistogram, percent: float) -> float:
-    value = float(durations.get_value_at_percentile(percent))
-    return value / MICROSECONDS_PER_MILLISECOND
+def _milliseconds(durations: ddsketch.DDSketch, percent: float) -> float:
+    """Return a percentile in milliseconds; 0 without any duration."""
+    value = durations.get_quantile_value(percent / 100) or 0
+    return float(value) / MICROSECONDS_PER_MILLISECOND
 
 
 class TokenTimer:
@@ -88,7 +79,7 @@
             if self.has_token
             else self.timings.first_token
         )
-        durations.record_value(max(elapsed, MIN_MICROSECONDS))
+        durations.add(elapsed)
         self.has_token = True
         self.last_at = now
         self.timings.tokens += token_count
