Log a key that repeats of a request share where a connection was lost

The logs couldn't tell a request that ends upstream after upstream from an overload that ends them under different requests: no line said which attempts are repeats. `attempt failed` with connection_lost now has request_key, a digest of method, target, organisation and body.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -1,11 +1,13 @@
 """Decide whether a request is admitted, and with which route and deadline."""
 
 import dataclasses
+import functools
 
 import result
 
 from cranberryrill import failures
 from cranberryrill.forwarding import caller_request, http_names
+from cranberryrill.quarantine import request_key
 from cranberryrill.traffic import document, route_table
 
 MILLISECONDS_PER_SECOND = 1000
@@ -42,6 +44,20 @@
     # Latest time of the final response, on the monotonic clock.
     deadline: float
 
+    @functools.cached_property
+    def head_key(self) -> str:
+        """Return the key that repeats share, whatever their bodies are."""
+        return request_key.head_key(
+            self.request.method,
+            self.request.target,
+            self.organisation or self.metadata.key,
+        )
+
+    @functools.cached_property
+    def full_key(self) -> str:
+        """Return the key that only repeats of this request share."""
+        return request_key.full_key(self.head_key, self.request.body)
+
 
 def admit(
     request: caller_request.Request,
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -285,6 +285,8 @@
         self.progress = self.progress.with_attempt(failed.ran)
         self.tried_ids |= {choice.upstream.id}
         self.lost_connections += failed.connection_lost
+        # Hashing the body of each failed request would cost too much.
+        key = self.admitted.full_key if failed.connection_lost else None
         LOGGER.info(
             'attempt failed',
             extra={
@@ -297,6 +299,7 @@
                 'responding_ms': self._responding_ms(),
                 'open_requests': choice.upstream.open_requests,
                 'shared_parts': self.admitted.metadata.shared_parts,
+                'request_key': key,
             },
         )
 
