--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -1,9 +1,10 @@
-"""Stand-in for a model replica that some prompts crash."""
+"""Stand-in for a replica that some requests crash."""
 
 import asyncio
+import enum
 import time
 
-from tornado import iostream
+from tornado import iostream, web
 
 from standins import fleet
 
@@ -12,11 +13,21 @@
 CRASH_DELAY_SECONDS = 0.05
 
 
+class CrashPoint(enum.Enum):
+    """What a replica has sent of a plain response when it crashes."""
+
+    nothing = b''
+    status_line = b'HTTP/1.1 200 OK\r\n'
+    part_of_the_head = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nServ'
+    part_of_the_body = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'
+
+
 class CrashingReplica(fleet.Replica):
-    """Replica that ends when it begins to respond to a fatal prompt part.
+    """Replica that ends when it begins to run a fatal request.
 
-    It is back after `restart_seconds`, at the same port and under another
-    name. The last part of a prompt is never fatal.
+    A request is fatal if it has the fatal prompt part before its last one, or
+    the fatal path. The replica is back after `restart_seconds`, at the same
+    port and under another name.
     """
 
     def __init__(
@@ -30,14 +41,21 @@
         self.base_name = name
         self.restart_seconds = restart_seconds
         self.fatal_part = ''
+        self.fatal_path = ''
+        self.crash_point = CrashPoint.nothing
         self.stream_handler = CrashingStreamHandler
+        self.plain_handler = CrashingPlainHandler
         self.is_down = False
-        self.open_handlers: set[CrashingStreamHandler] = set()
+        self.open_handlers: set[ClosableHandler] = set()
         # Unix times at which this replica ended.
         self.crashed_at: list[float] = []
 
-    def is_fatal(self, prompt_parts: str) -> bool:
-        """Return whether a prompt has the fatal part before its last one."""
+    def is_fatal(self, handler: web.RequestHandler) -> bool:
+        """Return whether the request of a handler is fatal."""
+        request = handler.request
+        if self.fatal_path and request.path == self.fatal_path:
+            return True
+        prompt_parts = request.headers.get(PROMPT_PARTS_HEADER, '')
         ids = [entry.partition(':')[0] for entry in prompt_parts.split(',')]
         return bool(self.fatal_part) and self.fatal_part in ids[:-1]
 
@@ -66,35 +84,48 @@
         self.start()
 
 
-class CrashingStreamHandler(fleet.StreamHandler):
-    """Serve event streams until a fatal prompt arrives."""
+class ClosableHandler(web.RequestHandler):
+    """Handler whose connection ends with its replica."""
 
     replica: CrashingReplica
 
-    async def post(self) -> None:
-        """Send events, or crash after the first one."""
+    def close_connection(self) -> None:
+        """Close the connection of the request at once."""
+        connection = self.request.connection
+        assert connection is not None
+        connection.stream.close()  # type: ignore[attr-defined]
+
+    async def run_unless_down(self) -> None:
+        """Serve the request unless it arrived as the replica ended."""
         if self.replica.is_down:
-            # The request arrived as the replica ended.
             self.close_connection()
             return
         self.replica.open_handlers.add(self)
         try:
-            await self._crash_or_respond()
+            await self.crash_or_respond()
         except iostream.StreamClosedError:
             # The replica crashed, or the client left.
             return
         finally:
             self.replica.open_handlers.discard(self)
 
-    def close_connection(self) -> None:
-        """Close the connection of the request at once."""
-        connection = self.request.connection
-        assert connection is not None
-        connection.stream.close()  # type: ignore[attr-defined]
+    async def crash_or_respond(self) -> None:
+        """Serve the request, which crashes the replica if it is fatal."""
+        raise NotImplementedError
+
+
+class CrashingStreamHandler(ClosableHandler, fleet.StreamHandler):
+    """Serve event streams until a fatal request arrives."""
 
-    async def _crash_or_respond(self) -> None:
-        prompt_parts = self.request.headers.get(PROMPT_PARTS_HEADER, '')
-        if not self.replica.is_fatal(prompt_parts):
+    replica: CrashingReplica
+
+    async def post(self) -> None:
+        """Send events, or crash after the first one."""
+        await self.run_unless_down()
+
+    async def crash_or_respond(self) -> None:
+        """Send all events, or the first one and crash."""
+        if not self.replica.is_fatal(self):
             await self.send_events()
             return
         if not self.replica.accept_request(self):
@@ -104,3 +135,29 @@
         await self.flush()
         await asyncio.sleep(CRASH_DELAY_SECONDS)
         self.replica.crash()
+
+
+class CrashingPlainHandler(ClosableHandler, fleet.PlainHandler):
+    """Serve plain requests until a fatal one arrives."""
+
+    replica: CrashingReplica
+
+    async def prepare(self) -> None:
+        """Respond, or crash at the replica's crash point."""
+        await self.run_unless_down()
+
+    async def crash_or_respond(self) -> None:
+        """Send the whole response, or a part of it and crash."""
+        if not self.replica.is_fatal(self):
+            await fleet.PlainHandler.prepare(self)
+            return
+        if not self.replica.accept_request(self):
+            self.finish()
+            return
+        await asyncio.sleep(CRASH_DELAY_SECONDS)
+        connection = self.request.connection
+        assert connection is not None
+        sent = self.replica.crash_point.value
+        if sent:
+            await connection.stream.write(sent)  # type: ignore[attr-defined]
+        self.replica.crash()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -59,6 +59,7 @@
         # Value of the limit header; no header is sent for None.
         self.limit: str | None = None
         self.stream_handler: type[web.RequestHandler] = StreamHandler
+        self.plain_handler: type[web.RequestHandler] = PlainHandler
         self.server: httpserver.HTTPServer | None = None
 
     def start(self) -> None:
@@ -67,7 +68,7 @@
         application = web.Application(
             [
                 ('/stream/.*', self.stream_handler, handler_arguments),
-                ('/.*', PlainHandler, handler_arguments),
+                ('/.*', self.plain_handler, handler_arguments),
             ],
         )
         self.server = httpserver.HTTPServer(application)
