Quarantine a request that crashes upstream after upstream

Evidence was kept by prompt part only: a plain request left none, and for a streaming one a part was blamed that sound requests share.

Evidence is now also kept by the request itself: a digest of method, target, organisation and body, the same for all its repeats. Three upstreams that end under it in turn make every entry refuse it, before the queue and before each dispatch, with request_quarantined, 503 and ran: no. Records travel and are merged like those of parts, and are bounded apart from them. Answers that aren't the upstream's own, and that it may have broken off, leave evidence as well.

A body over 4 KiB is hashed only where evidence on the same method, target and organisation exists.

--- a/cranberryrill/failures.py
+++ b/cranberryrill/failures.py
@@ -162,6 +162,14 @@
     status: typing.ClassVar[int] = http.HTTPStatus.SERVICE_UNAVAILABLE
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestQuarantined(Failure):
+    """The request has crashed upstreams; it is sent to no other."""
+
+    code: typing.ClassVar[str] = 'request_quarantined'
+    status: typing.ClassVar[int] = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 @dataclasses.dataclass(frozen=True)
 class TimedOut(Failure):
     """The request timed out, and it is unknown whether it ran."""
--- a/cranberryrill/forwarding/crash_tracker.py
+++ b/cranberryrill/forwarding/crash_tracker.py
@@ -1,4 +1,4 @@
-"""Find out under which prompt parts upstreams have ended.
+"""Find out under which prompt parts and requests upstreams have ended.
 
 A lost connection alone is no evidence: upstreams also reset single connections.
 After one, the tracker checks whether the upstream still accepts connections,
@@ -13,11 +13,11 @@
 from collections import abc as collection_types
 
 from cranberryrill import clock, tasks
-from cranberryrill.forwarding import caller_request, upstreams
-from cranberryrill.quarantine import ledger, records
+from cranberryrill.forwarding import admission, caller_request, upstreams
+from cranberryrill.quarantine import ledger, records, request_key
 
 LOGGER = logging.getLogger(__name__)
-# An upstream ends as it begins to respond to a fatal part. One that has been
+# An upstream ends as it begins to run a fatal request. One that has been
 # responding for this long survives the request.
 SURVIVAL_SECONDS = 1.0
 # An upstream that accepts no connection for this long has ended.
@@ -25,17 +25,25 @@
 # Time for another incarnation to register at the address of one that has ended.
 CONFIRMATION_SECONDS = 10.0
 CHECK_PERIOD_SECONDS = 0.2
+# The body of a request that no evidence is on is hashed up to this size, which
+# takes a few microseconds.
+MAX_HASHED_BYTES = 4096
 # Bounds on what is remembered, whatever callers send.
 MAX_KNOWN_PARTS = 4096
+MAX_KNOWN_REQUESTS = 4096
 MAX_PARTS_PER_REQUEST = 32
 MAX_LOSSES = 512
 
 
 @dataclasses.dataclass(frozen=True)
 class Loss:
-    """Connection of a request that an upstream lost early in its response."""
+    """Connection of a request that an upstream lost early in its response.
+
+    `parts` are the keys of its prompt parts, in order.
+    """
 
     parts: tuple[str, ...]
+    request_key: str
     lost_at: float
 
 
@@ -44,10 +52,26 @@
     """Response whose upstream has yet to survive it."""
 
     upstream: upstreams.Upstream
-    parts: tuple[str, ...]
+    keys: tuple[str, ...]
     started_at: float
 
 
+class KnownCompletions:
+    """When an upstream last survived a response, by key, bounded in number."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        # Oldest first.
+        self.at: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def record(self, key: str, now: float) -> None:
+        """Record a survived response."""
+        self.at[key] = now
+        self.at.move_to_end(key)
+        if len(self.at) > self.limit:
+            self.at.popitem(last=False)
+
+
 class CrashTracker:
     """Record crashes of upstreams, and survived responses, in the ledger.
 
@@ -70,10 +94,9 @@
         self.examined_change = 0
         # Responses that are not survived yet, oldest first, by their exchange.
         self.responses: dict[object, StartedResponse] = {}
-        # When an upstream last survived a response to a part, oldest first.
-        self.completed_at: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
+        # When an upstream last survived a response to a part or a request.
+        self.completed_parts = KnownCompletions(MAX_KNOWN_PARTS)
+        self.completed_requests = KnownCompletions(MAX_KNOWN_REQUESTS)
 
     async def run(self) -> None:
         """Examine the evidence periodically until cancelled."""
@@ -81,36 +104,39 @@
             await asyncio.sleep(CHECK_PERIOD_SECONDS)
             self.examine(clock.monotonic_seconds())
 
-    def quarantined_part(
-        self, metadata: caller_request.Metadata, now: float
+    def quarantined_key(
+        self, admitted: admission.Admitted, now: float
     ) -> str | None:
-        """Return a part of a prompt that crashes upstreams, or None.
+        """Return the key for which a request is quarantined, or None.
 
         The request is to be refused, which prolongs the quarantine.
         """
-        part = self.evidence.quarantined_part(shared_part_keys(metadata))
-        if part is not None:
-            self.evidence.record_refusal(part, now)
-        return part
+        key = self.evidence.quarantined_key(self._suspected_keys(admitted))
+        if key is not None:
+            self.evidence.record_refusal(key, now)
+        return key
 
-    def may_crash_upstreams(self, metadata: caller_request.Metadata) -> bool:
-        """Return whether a part of a prompt is suspected of crashes."""
-        return self.evidence.may_be_fatal(shared_part_keys(metadata))
+    def may_crash_upstreams(self, admitted: admission.Admitted) -> bool:
+        """Return whether a request or a part of it is suspected of crashes."""
+        return self.evidence.may_be_fatal(self._suspected_keys(admitted))
 
     def record_start(
         self,
         handle: object,
         upstream: upstreams.Upstream,
-        metadata: caller_request.Metadata,
+        admitted: admission.Admitted,
         now: float,
     ) -> None:
         """Record that an upstream has begun to respond to a request.
 
         `handle` identifies the exchange.
         """
-        parts = shared_part_keys(metadata)
-        if parts:
-            self.responses[handle] = StartedResponse(upstream, parts, now)
+        keys = self._suspected_keys(admitted)
+        is_small = len(admitted.request.body) <= MAX_HASHED_BYTES
+        if is_small and admitted.full_key not in keys:
+            keys = (*keys, admitted.full_key)
+        if keys:
+            self.responses[handle] = StartedResponse(upstream, keys, now)
 
     def forget_start(self, handle: object) -> None:
         """Forget a response whose end this process won't see."""
@@ -119,7 +145,7 @@
     def record_loss(
         self,
         upstream: upstreams.Upstream,
-        metadata: caller_request.Metadata,
+        admitted: admission.Admitted,
         responding_since: float | None,
         now: float,
         *,
@@ -135,12 +161,10 @@
         if responding_since is not None:
             if now >= responding_since + SURVIVAL_SECONDS:
                 return
-        parts = shared_part_keys(metadata)
-        if not parts:
-            return
         losses = self.losses.setdefault(upstream, [])
         if len(losses) < MAX_LOSSES:
-            losses.append(Loss(parts, now))
+            parts = shared_part_keys(admitted.metadata)
+            losses.append(Loss(parts, admitted.full_key, now))
         if is_certain and upstream not in self.probed:
             self.probed.add(upstream)
             self.group.start(
@@ -166,15 +190,18 @@
             upstream.lost_connection_at = max(
                 upstream.lost_connection_at, loss.lost_at
             )
-            for position, part in enumerate(loss.parts):
+            for position, key in (
+                *enumerate(loss.parts),
+                (0, loss.request_key),
+            ):
                 self.evidence.record_crash(
-                    part,
+                    key,
                     records.Crash(
                         upstream.incarnation,
                         loss.lost_at,
                         position,
                     ),
-                    self.completed_at.get(part, records.NEVER),
+                    self._completed(key).at.get(key, records.NEVER),
                 )
         if losses:
             LOGGER.info(
@@ -205,12 +232,24 @@
         self._drop_unconfirmed(now)
         self.evidence.expire(now)
         if self.evidence.change_number != self.examined_change:
-            self.evidence.recall_completions(self.completed_at)
+            self.evidence.recall_completions(self.completed_parts.at)
+            self.evidence.recall_completions(self.completed_requests.at)
             self.evidence.quarantine(now)
             self.examined_change = self.evidence.change_number
         if self.evidence.change_number != change_number:
             self.on_evidence()
 
+    def _suspected_keys(self, admitted: admission.Admitted) -> tuple[str, ...]:
+        """Return the keys under which there may be evidence on a request.
+
+        Its body is hashed only if there is some on a request with its head.
+        """
+        parts = shared_part_keys(admitted.metadata)
+        heads = self.evidence.request_heads
+        if heads and admitted.head_key in heads:
+            return (*parts, admitted.full_key)
+        return parts
+
     def _drop_unconfirmed(self, now: float) -> None:
         oldest = now - CONFIRMATION_SECONDS
         for upstream, losses in list(self.losses.items()):
@@ -225,17 +264,19 @@
         if upstream.lost_connection_at >= response.started_at:
             return
         is_suspected = any(
-            part in self.evidence.records for part in response.parts
+            key in self.evidence.records for key in response.keys
         )
         if is_suspected and self.evidence.names_crash_of(upstream.incarnation):
             # Other processes saw it end.
             return
-        for part in response.parts:
-            self.completed_at[part] = now
-            self.completed_at.move_to_end(part)
-            self.evidence.record_completion(part, now)
-        while len(self.completed_at) > MAX_KNOWN_PARTS:
-            self.completed_at.popitem(last=False)
+        for key in response.keys:
+            self._completed(key).record(key, now)
+            self.evidence.record_completion(key, now)
+
+    def _completed(self, key: str) -> 'KnownCompletions':
+        if request_key.is_request(key):
+            return self.completed_requests
+        return self.completed_parts
 
     async def _probe(
         self, upstream: upstreams.Upstream, lost_at: float
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -77,7 +77,7 @@
             if refusal is not None:
                 await self._refuse(refusal)
                 return None
-            # The prompt may have been quarantined during the wait.
+            # The request may have been quarantined during the wait.
             if await self._refuse_quarantined():
                 return None
             now = self._now()
@@ -97,13 +97,13 @@
         return self.context.limits_used_up(self.admitted, now)
 
     async def _refuse_quarantined(self) -> bool:
-        """Refuse a prompt that crashes upstreams; return whether it does."""
-        part = self.context.crash_tracker.quarantined_part(
-            self.admitted.metadata, self._now()
+        """Refuse a request that crashes upstreams; return whether it does."""
+        key = self.context.crash_tracker.quarantined_key(
+            self.admitted, self._now()
         )
-        if part is None:
+        if key is None:
             return False
-        await self._refuse(refusals.quarantined(part, self.progress.ran))
+        await self._refuse(refusals.quarantined(key, self.progress.ran))
         return True
 
     async def _attempt(
@@ -163,7 +163,7 @@
         self._count_start(now)
         self.context.record_prefilled_prompt(upstream, self.admitted)
         self.context.crash_tracker.record_start(
-            call, upstream, self.admitted.metadata, now
+            call, upstream, self.admitted, now
         )
         if kind is response_kind.Kind.success and self.admitted.route.streams:
             limit_bytes = self.context.response_limits.event_bytes
@@ -237,14 +237,19 @@
         if failed is not None and not failed.reached_upstream:
             tracker.record_unreachable(choice.upstream, self._now())
             return
-        is_unframed = failed is None and not attempts.has_framing(call)
         is_certain = failed is not None and (
             failed.connection_lost or failed.timed_out
         )
-        if is_certain or is_unframed:
+        # An answer that isn't the upstream's own may be cut off, too.
+        may_be_cut_off = (
+            not attempts.has_framing(call)
+            if failed is None
+            else failed.ran is not failures.Ran.no
+        )
+        if is_certain or may_be_cut_off:
             tracker.record_loss(
                 choice.upstream,
-                self.admitted.metadata,
+                self.admitted,
                 self.responding_since,
                 self._now(),
                 is_certain=is_certain,
@@ -270,7 +275,7 @@
         tracker = self.context.crash_tracker
         if failed.connection_lost:
             # A retry might crash the next upstream.
-            if tracker.may_crash_upstreams(self.admitted.metadata):
+            if tracker.may_crash_upstreams(self.admitted):
                 return False
         service = self.admitted.service.name
         budget = self.context.retry_budget_for(service, now)
--- a/cranberryrill/forwarding/instruments.py
+++ b/cranberryrill/forwarding/instruments.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of forwarded requests."""
 
+import functools
+
 import prometheus_client
 
+from cranberryrill.quarantine import ledger
+
 # From the duration of a short plain request to that of a long stream.
 BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
 
@@ -28,6 +32,11 @@
             'Prompt parts that crash upstreams and are refused.',
             registry=self.registry,
         )
+        self.quarantined_requests = prometheus_client.Gauge(
+            'cranberryrill_quarantined_requests',
+            'Requests that crash upstreams and are refused.',
+            registry=self.registry,
+        )
         self.limited_upstreams = prometheus_client.Gauge(
             'cranberryrill_limited_upstreams',
             'Upstreams that name a limit of requests a second.',
@@ -41,6 +50,15 @@
             registry=self.registry,
         )
 
+    def watch_quarantine(self, evidence: ledger.Ledger) -> None:
+        """Export how many parts and requests a ledger has quarantined."""
+        self.quarantined_parts.set_function(
+            functools.partial(evidence.quarantined_count, requests=False)
+        )
+        self.quarantined_requests.set_function(
+            functools.partial(evidence.quarantined_count, requests=True)
+        )
+
     def count(self, route: str, outcome: str, seconds: float) -> None:
         """Record a request that has ended.
 
--- a/cranberryrill/forwarding/refusals.py
+++ b/cranberryrill/forwarding/refusals.py
@@ -6,6 +6,7 @@
 
 from cranberryrill import failures
 from cranberryrill.forwarding import attempts
+from cranberryrill.quarantine import request_key
 
 
 def no_upstream(ran: failures.Ran, retry_after: float) -> failures.Failure:
@@ -31,12 +32,18 @@
     return failures.UpstreamFailed(failed.cause, failures.Ran.unknown)
 
 
-def quarantined(part: str, ran: failures.Ran) -> failures.Failure:
-    """Return the failure of a prompt with a part that crashes upstreams.
+def quarantined(key: str, ran: failures.Ran) -> failures.Failure:
+    """Return the failure of a request that crashes upstreams.
 
-    It names no time for a retry: the part stays quarantined while it comes.
+    `key` is that of the request, or of a part of its prompt. The failure names
+    no time for a retry: the quarantine lasts while such requests come.
     """
-    cause = f'upstreams end under the part {part} of the prompt'
+    if request_key.is_request(key):
+        cause = 'upstreams end under this request'
+        refusal: failures.Failure = failures.RequestQuarantined(cause)
+    else:
+        cause = f'upstreams end under the part {key} of the prompt'
+        refusal = failures.PromptQuarantined(cause)
     if ran is failures.Ran.no:
-        return failures.PromptQuarantined(cause)
+        return refusal
     return failures.UpstreamFailed(cause, failures.Ran.unknown)
--- a/cranberryrill/membership/watch_service.py
+++ b/cranberryrill/membership/watch_service.py
@@ -227,7 +227,7 @@
         )
 
     def merge_evidence(
-        self, parts: abc.Iterable[quarantine_pb2.PartRecord], now: float
+        self, parts: abc.Iterable[quarantine_pb2.SuspectRecord], now: float
     ) -> None:
         """Merge evidence on prompt parts; wake the watches if it is news."""
         if self.evidence.merge(parts, now):
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -51,9 +51,7 @@
         self.holder = self._make_holder()
         self.usage = self._make_usage()
         self.instruments = instruments.Instruments()
-        self.instruments.quarantined_parts.set_function(
-            self.holder.evidence.quarantined_count
-        )
+        self.instruments.watch_quarantine(self.holder.evidence)
         self.dispatcher = dispatcher.Dispatcher(
             dispatcher.DispatcherOptions(
                 settings.name,
--- a/cranberryrill/quarantine/ledger.py
+++ b/cranberryrill/quarantine/ledger.py
@@ -1,19 +1,29 @@
-"""Evidence on prompt parts, shared by entries and control members.
+"""Evidence on prompt parts and requests, shared by entries and control members.
 
 Each entry records what it sees and merges what the others have seen. Merging
 is idempotent and the order doesn't matter, so all processes converge. A
 process that has restarted receives all records again.
 """
 
+import collections
 import dataclasses
 import logging
-from collections import abc
-
-from cranberryrill.quarantine import quarantine_pb2, records, verdict
+from collections import abc as collection_types
+
+from cranberryrill.quarantine import (
+    quarantine_pb2,
+    records,
+    request_key,
+    verdict,
+)
 from cranberryrill.settings import quarantine_limits
 
 LOGGER = logging.getLogger(__name__)
-# Crashes remembered of one part.
+# A request that upstreams survived before it was quarantined may have been
+# open by chance where they ended, as in a loss of power. It is tried again
+# after this time.
+KNOWN_REQUEST_SECONDS = 10.0
+# Crashes remembered of one suspect.
 MAX_CRASHES = 16
 # A time is replaced by a later one only if it is later by this much. Messages
 # shift times by their transit, which must not pass for news.
@@ -22,89 +32,96 @@
 
 
 class Ledger:
-    """Records of suspected parts, bounded in number, by part.
+    """Records of suspected prompt parts and requests, bounded, by key.
 
     `change_number` increases with each stored record.
     """
 
     def __init__(self, limits: quarantine_limits.QuarantineLimits) -> None:
         self.limits = limits
-        self.records: dict[str, records.PartRecord] = {}
+        self.records: dict[str, records.SuspectRecord] = {}
+        # Number of requests with a record, by the keys of their heads.
+        self.request_heads: collections.Counter[str] = collections.Counter()
         self.change_number = 0
 
     def record_crash(
         self,
-        part: str,
+        key: str,
         crash: records.Crash,
         completed_at: float = records.NEVER,
     ) -> None:
-        """Record that an upstream ended under a request with the part.
+        """Record that an upstream ended under a request.
 
-        `completed_at` is when an upstream last survived a response to the part,
-        as far as this process knows.
+        `completed_at` is when an upstream last survived a response to the part
+        or request, as far as this process knows.
         """
         self._merge(
-            records.PartRecord(
-                part,
+            records.SuspectRecord(
+                key,
                 crashes=(crash,),
                 completed_at=completed_at,
                 seen_at=crash.ended_at,
             )
         )
 
-    def record_completion(self, part: str, now: float) -> None:
-        """Record that an upstream responded to a suspected part and ran on."""
-        if part in self.records:
-            self._merge(records.PartRecord(part, completed_at=now))
+    def record_completion(self, key: str, now: float) -> None:
+        """Record that an upstream responded to a suspect and ran on."""
+        if key in self.records:
+            self._merge(records.SuspectRecord(key, completed_at=now))
 
-    def recall_completions(self, completed_at: abc.Mapping[str, float]) -> None:
-        """Add earlier completions to the records of parts without any.
+    def recall_completions(
+        self, completed_at: collection_types.Mapping[str, float]
+    ) -> None:
+        """Add earlier completions to the records of suspects without any.
 
         Another process may have recorded a crash under a part of which only
         this one knows that upstreams survive it.
         """
-        for part, record in list(self.records.items()):
-            if record.completed_at == records.NEVER and part in completed_at:
+        for key, record in list(self.records.items()):
+            if record.completed_at == records.NEVER and key in completed_at:
                 self._merge(
-                    records.PartRecord(part, completed_at=completed_at[part])
+                    records.SuspectRecord(key, completed_at=completed_at[key])
                 )
 
-    def record_refusal(self, part: str, now: float) -> None:
-        """Record that a request with a quarantined part was refused."""
-        self._merge(records.PartRecord(part, seen_at=now))
+    def record_refusal(self, key: str, now: float) -> None:
+        """Record that a quarantined request was refused."""
+        self._merge(records.SuspectRecord(key, seen_at=now))
 
     def quarantine(self, now: float) -> list[str]:
-        """Quarantine the parts that are fatal by the evidence; return them."""
-        if not self.limits.crashes:
-            return []
-        fatal = verdict.fatal_parts(self.records.values(), self.limits.crashes)
-        for part in fatal:
-            self._merge(records.PartRecord(part, quarantined_at=now))
+        """Quarantine what is fatal by the evidence; return the keys."""
+        fatal = verdict.fatal_keys(self.records.values(), self.limits)
+        for key in fatal:
+            self._merge(records.SuspectRecord(key, quarantined_at=now))
         return fatal
 
-    def quarantined_part(self, parts: abc.Iterable[str]) -> str | None:
-        """Return the first of `parts` that is quarantined, or None.
+    def quarantined_key(
+        self, keys: collection_types.Iterable[str]
+    ) -> str | None:
+        """Return the first of `keys` that is quarantined, or None.
 
         With the quarantine turned off, none is, whatever others say.
         """
-        if not self.limits.crashes:
-            return None
-        for part in parts:
-            record = self.records.get(part)
-            if record is not None and record.is_quarantined:
-                return part
+        for key in keys:
+            record = self.records.get(key)
+            if record is None or not record.is_quarantined:
+                continue
+            if self.limits.crashes_for(is_request=record.is_request):
+                return key
         return None
 
-    def quarantined_count(self) -> int:
-        """Return how many parts are quarantined."""
-        return sum(record.is_quarantined for record in self.records.values())
+    def quarantined_count(self, *, requests: bool) -> int:
+        """Return how many requests are quarantined, or else prompt parts."""
+        return sum(
+            record.is_quarantined and record.is_request == requests
+            for record in self.records.values()
+        )
 
-    def may_be_fatal(self, parts: abc.Iterable[str]) -> bool:
-        """Return whether one of `parts` may have crashed an upstream."""
+    def may_be_fatal(self, keys: collection_types.Iterable[str]) -> bool:
+        """Return whether one of `keys` may have crashed an upstream."""
         return any(
-            verdict.may_be_fatal(self.records[part])
-            for part in parts
-            if part in self.records
+            verdict.may_be_fatal(self.records[key])
+            for key in keys
+            if key in self.records
         )
 
     def names_crash_of(self, incarnation: str) -> bool:
@@ -117,7 +134,7 @@
 
     def changes_since(
         self, change_number: int, now: float
-    ) -> list[quarantine_pb2.PartRecord]:
+    ) -> list[quarantine_pb2.SuspectRecord]:
         """Return the records stored after `change_number`, as messages."""
         return [
             records.encode(record, now)
@@ -126,7 +143,9 @@
         ]
 
     def merge(
-        self, messages: abc.Iterable[quarantine_pb2.PartRecord], now: float
+        self,
+        messages: collection_types.Iterable[quarantine_pb2.SuspectRecord],
+        now: float,
     ) -> bool:
         """Merge records of another process; return whether any was news."""
         before = self.change_number
@@ -137,12 +156,15 @@
         return self.change_number != before
 
     def expire(self, now: float) -> None:
-        """Drop the records of parts that have not been seen for long."""
-        for part, record in list(self.records.items()):
+        """Drop the records of suspects that have not been seen for long."""
+        for record in list(self.records.values()):
             if self._is_expired(record, now):
                 self._remove(record, 'not seen for long')
 
-    def _is_expired(self, record: records.PartRecord, now: float) -> bool:
+    def _is_expired(self, record: records.SuspectRecord, now: float) -> bool:
+        if record.is_request and record.is_quarantined:
+            if record.completed_at != records.NEVER:
+                return now >= record.quarantined_at + KNOWN_REQUEST_SECONDS
         lifetime = (
             self.limits.idle_seconds
             if record.is_quarantined
@@ -150,11 +172,11 @@
         )
         return now >= record.seen_at + lifetime
 
-    def _merge(self, incoming: records.PartRecord) -> None:
-        current = self.records.get(incoming.part)
+    def _merge(self, incoming: records.SuspectRecord) -> None:
+        current = self.records.get(incoming.key)
         if current is None:
             self._store(incoming)
-            self._evict()
+            self._evict(is_request=incoming.is_request)
             return
         merged = dataclasses.replace(
             current,
@@ -173,47 +195,77 @@
         if merged != current:
             self._store(merged)
 
-    def _store(self, record: records.PartRecord) -> None:
-        previous = self.records.get(record.part)
+    def _store(self, record: records.SuspectRecord) -> None:
+        previous = self.records.get(record.key)
         was_quarantined = previous is not None and previous.is_quarantined
         self.change_number += 1
-        self.records[record.part] = dataclasses.replace(
+        self.records[record.key] = dataclasses.replace(
             record, change_number=self.change_number
         )
+        if previous is None and record.is_request:
+            self.request_heads[request_key.head_of(record.key)] += 1
         if record.is_quarantined and not was_quarantined:
-            LOGGER.warning(
-                'part quarantined',
-                extra={
-                    'part': record.part,
-                    'upstreams': [
-                        crash.incarnation for crash in record.crashes
-                    ],
-                },
-            )
+            _log_quarantine(record)
         if was_quarantined and not record.is_quarantined:
-            _log_release(record.part, 'an upstream ran on under it')
+            _log_release(record, 'an upstream ran on under it')
 
-    def _evict(self) -> None:
-        """Drop the record that has been unseen for longest if there are more.
+    def _evict(self, *, is_request: bool) -> None:
+        """Drop the suspect that has been unseen for longest, if there are more.
 
-        Quarantined parts are dropped last.
+        Only those of the same kind compete, so that requests, which each caller
+        can vary at will, don't displace prompt parts. Quarantined ones are
+        dropped last.
         """
-        if len(self.records) <= self.limits.max_parts:
+        rivals = [
+            record
+            for record in self.records.values()
+            if record.is_request == is_request
+        ]
+        limit = (
+            self.limits.max_requests if is_request else self.limits.max_parts
+        )
+        if len(rivals) <= limit:
             return
         evicted = min(
-            self.records.values(),
-            key=lambda record: (record.is_quarantined, record.seen_at),
+            rivals, key=lambda record: (record.is_quarantined, record.seen_at)
         )
-        self._remove(evicted, 'too many parts')
-
-    def _remove(self, record: records.PartRecord, cause: str) -> None:
-        del self.records[record.part]
+        self._remove(evicted, 'too many suspects')
+
+    def _remove(self, record: records.SuspectRecord, cause: str) -> None:
+        del self.records[record.key]
+        if record.is_request:
+            head = request_key.head_of(record.key)
+            self.request_heads[head] -= 1
+            if not self.request_heads[head]:
+                del self.request_heads[head]
         if record.is_quarantined:
-            _log_release(record.part, cause)
+            _log_release(record, cause)
+
+
+def _log_quarantine(record: records.SuspectRecord) -> None:
+    upstreams = [crash.incarnation for crash in record.crashes]
+    if record.is_request:
+        LOGGER.warning(
+            'request quarantined',
+            extra={'request_key': record.key, 'upstreams': upstreams},
+        )
+    else:
+        LOGGER.warning(
+            'part quarantined',
+            extra={'part': record.key, 'upstreams': upstreams},
+        )
 
 
-def _log_release(part: str, cause: str) -> None:
-    LOGGER.warning('part released', extra={'part': part, 'cause': cause})
+def _log_release(record: records.SuspectRecord, cause: str) -> None:
+    if record.is_request:
+        LOGGER.warning(
+            'request released',
+            extra={'request_key': record.key, 'cause': cause},
+        )
+    else:
+        LOGGER.warning(
+            'part released', extra={'part': record.key, 'cause': cause}
+        )
 
 
 def _merged_crashes(
@@ -229,8 +281,8 @@
 
 
 def _with_quarantine(
-    record: records.PartRecord, quarantined_at: float
-) -> records.PartRecord:
+    record: records.SuspectRecord, quarantined_at: float
+) -> records.SuspectRecord:
     """Return the record with a quarantine that began after its last release."""
     was_released = record.quarantined_at != records.NEVER
     tolerance = COMPLETION_TOLERANCE_SECONDS if was_released else 0
--- a/cranberryrill/quarantine/records.py
+++ b/cranberryrill/quarantine/records.py
@@ -1,4 +1,4 @@
-"""Evidence on one prompt part, and its encoding in messages.
+"""Evidence on one prompt part or request, and its encoding in messages.
 
 Times are monotonic seconds of the process that holds the record. Messages
 carry ages instead, since the clocks of processes differ.
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from cranberryrill.quarantine import quarantine_pb2
+from cranberryrill.quarantine import quarantine_pb2, request_key
 
 MILLISECONDS_PER_SECOND = 1000
 MAX_AGE_MS = 0xFFFFFFFF
@@ -20,24 +20,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Crash:
-    """End of an upstream under a request with a certain prompt part."""
+    """End of an upstream under a request."""
 
     # Incarnation of the upstream: its id and its start.
     incarnation: str
     ended_at: float
-    # Index of the part in the prompt.
+    # Index of the part in the prompt; 0 for a request.
     position: int
 
 
 @dataclasses.dataclass(frozen=True)
-class PartRecord:
-    """All evidence on one prompt part."""
+class SuspectRecord:
+    """All evidence on one prompt part, or on one request and its repeats."""
 
-    part: str
+    # Id of the part, or key of the request.
+    key: str
     crashes: tuple[Crash, ...] = ()
-    # When an upstream last responded to a request with the part and ran on.
+    # When an upstream last responded to such a request and ran on.
     completed_at: float = NEVER
-    # When requests with the part were first refused.
+    # When such requests were first refused.
     quarantined_at: float = NEVER
     # Time of the last crash or refusal.
     seen_at: float = NEVER
@@ -46,12 +47,17 @@
 
     @property
     def is_quarantined(self) -> bool:
-        """Return whether requests with the part are refused.
+        """Return whether such requests are refused.
 
-        A response that completes later proves the part to be sound.
+        A response that completes later proves them to be sound.
         """
         return self.quarantined_at > self.completed_at
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether this is about a request, not a prompt part."""
+        return request_key.is_request(self.key)
+
 
 def part_key(part: str) -> str:
     """Return the id under which evidence on a prompt part is recorded."""
@@ -60,10 +66,10 @@
     return xxhash.xxh128_hexdigest(part.encode())
 
 
-def encode(record: PartRecord, now: float) -> quarantine_pb2.PartRecord:
+def encode(record: SuspectRecord, now: float) -> quarantine_pb2.SuspectRecord:
     """Return the message for a record at the time `now`."""
-    message = quarantine_pb2.PartRecord(
-        part=record.part,
+    message = quarantine_pb2.SuspectRecord(
+        key=record.key,
         crashes=[
             quarantine_pb2.Crash(
                 incarnation=crash.incarnation,
@@ -81,7 +87,7 @@
     return message
 
 
-def decode(message: quarantine_pb2.PartRecord, now: float) -> PartRecord:
+def decode(message: quarantine_pb2.SuspectRecord, now: float) -> SuspectRecord:
     """Return the record of a message that is received at the time `now`."""
     completed_at = NEVER
     if message.HasField('completed_age_ms'):
@@ -89,8 +95,8 @@
     quarantined_at = NEVER
     if message.HasField('quarantined_age_ms'):
         quarantined_at = _time_of(message.quarantined_age_ms, now)
-    return PartRecord(
-        part=message.part,
+    return SuspectRecord(
+        key=message.key,
         crashes=tuple(
             Crash(
                 crash.incarnation,
--- a/cranberryrill/settings/quarantine_limits.py
+++ b/cranberryrill/settings/quarantine_limits.py
@@ -1,4 +1,4 @@
-"""Limits of the quarantine of prompt parts that crash upstreams."""
+"""Limits of the quarantine of requests that crash upstreams."""
 
 import dataclasses
 import typing
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class QuarantineLimits:
-    """When a prompt part is quarantined, for how long, and how many are."""
+    """When prompt parts and requests are quarantined, and for how long."""
 
     __pydantic_config__ = pydantic.ConfigDict(extra='forbid')
 
@@ -20,6 +20,14 @@
             ge=0,
         ),
     ] = 4
+    request_crashes: typing.Annotated[
+        int,
+        pydantic.Field(
+            description='upstreams that end, one after the other, under one'
+            ' request and its repeats until it is refused; 0: none is',
+            ge=0,
+        ),
+    ] = 3
     idle_seconds: typing.Annotated[
         float,
         pydantic.Field(
@@ -37,3 +45,11 @@
             description='prompt parts on which evidence is kept', ge=1
         ),
     ] = 1024
+    max_requests: typing.Annotated[
+        int,
+        pydantic.Field(description='requests on which evidence is kept', ge=1),
+    ] = 1024
+
+    def crashes_for(self, *, is_request: bool) -> int:
+        """Return how many crashes make a request, or a part, be refused."""
+        return self.request_crashes if is_request else self.crashes
--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -19,7 +19,12 @@
     nothing = b''
     status_line = b'HTTP/1.1 200 OK\r\n'
     part_of_the_head = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nServ'
-    part_of_the_body = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'
+    # Without id and signature.
+    foreign_response = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort'
+    part_of_the_body = (
+        b'HTTP/1.1 200 OK\r\nCranberryrill-Replica-Signature: s\r\n'
+        b'Content-Length: 9\r\n\r\nshort'
+    )
 
 
 class CrashingReplica(fleet.Replica):
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -80,6 +80,23 @@
     )
 
 
+def make_admitted(
+    metadata: caller_request.Metadata,
+    body: bytes = b'',
+    target: str = '/x/1',
+) -> admission.Admitted:
+    return admission.Admitted(
+        request=caller_request.Request('POST', target, (), body, 0),
+        metadata=metadata,
+        route=make_route(),
+        service=document.Service('model', '', 0),
+        organisation='o',
+        rank=1,
+        version=1,
+        deadline=4,
+    )
+
+
 def with_metadata(
     admitted: admission.Admitted, metadata: caller_request.Metadata
 ) -> admission.Admitted:
--- a/tests/membership/test_watch_service.py
+++ b/tests/membership/test_watch_service.py
@@ -36,10 +36,10 @@
         self.member = self
         self.name = 'control-0'
         self.peers: tuple[str, ...] = ()
-        self.merged: list[quarantine_pb2.PartRecord] = []
+        self.merged: list[quarantine_pb2.SuspectRecord] = []
 
     def merge_evidence(
-        self, parts: abc.Iterable[quarantine_pb2.PartRecord], now: float
+        self, parts: abc.Iterable[quarantine_pb2.SuspectRecord], now: float
     ) -> None:
         self.merged.extend(parts)
 
--- a/tests/quarantine/test_ledger.py
+++ b/tests/quarantine/test_ledger.py
@@ -30,7 +30,7 @@
             share(source, target, 10)
         for evidence in entries:
             evidence.quarantine(10)
-            assert evidence.quarantined_part(['q', 'p']) == 'p'
+            assert evidence.quarantined_key(['q', 'p']) == 'p'
 
 
 def test_echoed_evidence_is_no_news() -> None:
@@ -55,7 +55,7 @@
     record_crashes(known, 'p', THRESHOLD)
     known.quarantine(5)
     share(known, restarted, 6)
-    assert restarted.quarantined_part(['p']) == 'p'
+    assert restarted.quarantined_key(['p']) == 'p'
 
 
 def test_survived_response_releases_a_part_everywhere() -> None:
@@ -68,7 +68,7 @@
     # What was known before doesn't bring the quarantine back.
     share(one, other, 7)
     for evidence in (one, other):
-        assert evidence.quarantined_part(['p']) is None
+        assert evidence.quarantined_key(['p']) is None
         assert not evidence.quarantine(8)
 
 
@@ -80,7 +80,7 @@
     for number in range(10, 17):
         evidence.record_crash('p', conftest.make_crash(number, number))
     assert evidence.quarantine(17) == ['p']
-    assert evidence.quarantined_count() == 1
+    assert evidence.quarantined_count(requests=False) == 1
 
 
 def test_quarantine_lasts_while_requests_come_and_ends_after() -> None:
@@ -92,9 +92,23 @@
         now += 60
         evidence.record_refusal('p', now)
         evidence.expire(now)
-        assert evidence.quarantined_part(['p'])
+        assert evidence.quarantined_key(['p'])
     evidence.expire(now + 101)
-    assert not evidence.quarantined_part(['p'])
+    assert not evidence.quarantined_key(['p'])
+
+
+def test_request_that_was_survived_before_is_soon_tried_again() -> None:
+    evidence = conftest.make_ledger()
+    known, unknown = (conftest.request_key_of(number) for number in (1, 2))
+    for number in range(10, 16):
+        crash = conftest.make_crash(number, number)
+        evidence.record_crash(known, crash, completed_at=5)
+        evidence.record_crash(unknown, crash)
+    assert set(evidence.quarantine(16)) == {known, unknown}
+    evidence.expire(25.9)
+    assert evidence.quarantined_count(requests=True) == 2
+    evidence.expire(26)
+    assert evidence.quarantined_key([known, unknown]) == unknown
 
 
 def test_evidence_is_bounded_and_quarantined_parts_stay() -> None:
@@ -105,12 +119,27 @@
         crash = conftest.make_crash(number, 10 + number)
         evidence.record_crash(f'filler-{number}', crash)
     assert len(evidence.records) == 100
-    assert evidence.quarantined_part(['fatal'])
+    assert evidence.quarantined_key(['fatal'])
     for number in range(200):
         evidence.record_crash('p', conftest.make_crash(number, 9000 + number))
     assert len(evidence.records['p'].crashes) == ledger.MAX_CRASHES
 
 
+def test_requests_and_parts_displace_only_their_own_kind() -> None:
+    evidence = conftest.make_ledger(max_parts=10, max_requests=20)
+    record_crashes(evidence, 'fatal', THRESHOLD)
+    evidence.quarantine(5)
+    for number in range(500):
+        crash = conftest.make_crash(number, 10 + number)
+        evidence.record_crash(f'part-{number}', crash)
+        evidence.record_crash(conftest.request_key_of(number), crash)
+    assert len(evidence.records) == 30
+    assert evidence.quarantined_key(['fatal'])
+    assert sum(evidence.request_heads.values()) == 20
+    evidence.expire(10_000)
+    assert not evidence.request_heads
+
+
 def test_long_ids_are_digested() -> None:
     assert records.part_key('5c1e07a2') == '5c1e07a2'
     key = records.part_key('x' * 10_000)
@@ -119,13 +148,14 @@
 
 
 def test_quarantine_can_be_turned_off() -> None:
-    evidence = conftest.make_ledger(crashes=0)
+    evidence = conftest.make_ledger(crashes=0, request_crashes=0)
     record_crashes(evidence, 'p', 10)
+    record_crashes(evidence, conftest.request_key_of(1), 10)
     assert not evidence.quarantine(20)
 
 
 def test_times_survive_their_encoding() -> None:
-    record = records.PartRecord(
+    record = records.SuspectRecord(
         'p', (conftest.make_crash(1, 40),), completed_at=30, seen_at=41
     )
     decoded = records.decode(records.encode(record, 50), 50)
@@ -137,4 +167,4 @@
     record_crashes(other, 'p', THRESHOLD)
     other.quarantine(5)
     share(other, off, 6)
-    assert off.quarantined_part(['p']) is None
+    assert off.quarantined_key(['p']) is None
--- a/tests/system/test_fatal_request.py
+++ b/tests/system/test_fatal_request.py
@@ -162,6 +162,7 @@
         ('order', crashing.CrashPoint.status_line, 3),
         ('order', crashing.CrashPoint.part_of_the_body, 4),
         ('stream', crashing.CrashPoint.nothing, 5),
+        ('order', crashing.CrashPoint.foreign_response, 7),
     ],
 )
 async def test_fatal_request_stops_and_sound_ones_go_on(
