Take no answer from a head that stops midway

At the agent, an answer was complete as soon as any line had named a length, or the status was one without a body: each cut after that line gave callers a whole, empty answer. At the entry only a head that lacked its last byte was taken for whole; the other cuts failed as they should, but not as a lost connection, so they left no evidence of a crash.

Now only whole lines count, an answer needs the blank line at both, and an end within the head is a lost connection.

--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -15,6 +15,7 @@
 from cranberryrill.settings import response_limits
 
 STATUS_LINE_PREFIX = 'HTTP/'
+LINE_END = b'\n'
 MIN_FINAL_STATUS = 200
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
@@ -41,6 +42,12 @@
         pycurl.E_SEND_ERROR,
     )
 )
+# With these codes, and with success, curl also reports a connection that closed
+# within the head of the response.
+BROKEN_HEAD_ERRORS = CONNECTION_LOST_ERRORS | {
+    pycurl.E_OK,
+    pycurl.E_UNSUPPORTED_PROTOCOL,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -205,7 +212,8 @@
         if self.head_bytes > self.limits.head_bytes:
             self.excess = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
-        if not self.has_head:
+        # At the end of a connection, curl also passes on part of a line.
+        if not self.has_head and line.endswith(LINE_END):
             self._read_header(line)
         return None
 
@@ -244,11 +252,12 @@
             self.ending = Unsent(error_text)
         else:
             cause = self.excess or error_text or _cause_of(error_code)
+            lost_errors = (
+                CONNECTION_LOST_ERRORS if self.has_head else BROKEN_HEAD_ERRORS
+            )
             self.ending = Interrupted(
                 cause,
-                connection_lost=(
-                    not self.excess and error_code in CONNECTION_LOST_ERRORS
-                ),
+                connection_lost=not self.excess and error_code in lost_errors,
             )
         self.changed.set()
 
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -24,6 +24,7 @@
 RESUME_HEADER = 'X-Resume-From'
 EVENT_STREAM = 'text/event-stream'
 EVENT_SEPARATOR = b'\n\n'
+LINE_END = b'\n'
 LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 RETURNED_HEADERS = frozenset(
     (
@@ -79,6 +80,8 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self.status = 0
+        # Whether the whole head of the final answer was received.
+        self.has_head = False
         self.has_length = False
         self.returned_headers: list[relay_pb2.Header] = []
         self.counter = token_counter.TokenCounter(answer.usage)
@@ -170,6 +173,9 @@
         """
         if self.answer.end is not None:
             return
+        if not self.has_head:
+            self.fail(ConnectionError('the answer had no head'), now)
+            return
         if not self._is_complete():
             self.fail(ConnectionError('the answer had no length'), now)
             return
@@ -210,16 +216,22 @@
         if self.head_bytes > self.limits.head_bytes:
             self.abort_reason = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
-        self._read_header(line)
+        # At the end of a connection, curl also passes on part of a line.
+        if line.endswith(LINE_END):
+            self._read_header(line)
         return None
 
     def _read_header(self, line: bytes) -> None:
         text = line.decode('latin-1').strip()
         if text.startswith('HTTP/'):
             self.status = _parse_status(text)
+            self.has_head = False
             self.has_length = False
             self.returned_headers = []
             return
+        if not text:
+            self.has_head = self.status >= http.HTTPStatus.OK
+            return
         name, _, value = text.partition(':')
         if name.lower() == 'content-type':
             self.streams_events = EVENT_STREAM in value
--- /dev/null
+++ b/tests/forwarding/test_broken_answers.py
@@ -0,0 +1,147 @@
+"""What callers get of answers that break off, or that aren't the upstream's."""
+
+import asyncio
+import dataclasses
+import typing
+
+import pytest
+
+from cranberryrill import clock, failures
+from cranberryrill.forwarding import (
+    admission,
+    attempts,
+    delivery,
+    placement,
+    relaying,
+)
+from tests.forwarding import conftest
+from tests.forwarding import test_endless_responses as scripted
+
+STREAM_HEAD = b'%sContent-Type: text/event-stream\r\n' % scripted.HEAD
+CHUNKED_STREAM = b'%sTransfer-Encoding: chunked\r\n\r\n' % STREAM_HEAD
+PLAIN = b'%sContent-Length: 2\r\n\r\nok' % scripted.HEAD
+LARGE = b'e' * (2 * relaying.MAX_BUFFERED_BYTES)
+# More than is buffered; the rest of an answer is sent a little later.
+FIRST_BYTES = relaying.MAX_BUFFERED_BYTES + 1000
+PAUSE_SECONDS = 0.05
+
+
+class Upstream:
+    """Upstream that sends a script, and closes the connection."""
+
+    def __init__(self, script: bytes) -> None:
+        self.script = script
+        self.requests = 0
+        self.port = 0
+
+    async def listen(self) -> None:
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            # A probe, which sends nothing.
+            writer.close()
+            return
+        self.requests += 1
+        writer.write(self.script[:FIRST_BYTES])
+        await writer.drain()
+        if len(self.script) > FIRST_BYTES:
+            await asyncio.sleep(PAUSE_SECONDS)
+            writer.write(self.script[FIRST_BYTES:])
+            await writer.drain()
+        writer.close()
+
+
+class Reply(scripted.RecordingReply):
+    """Reply that keeps the body, and whether it ended as complete."""
+
+    def __init__(self) -> None:
+        super().__init__(0)
+        self.body = b''
+        self.finished = False
+
+    async def start(self, status: int, headers: object, content: bytes) -> None:
+        await super().start(status, headers, content)
+        self.body += content
+
+    async def write(self, content: bytes) -> None:
+        self.body += content
+
+    async def send_full(
+        self, status: int, headers: object, body: bytes
+    ) -> None:
+        await super().send_full(status, headers, body)
+        self.body += body
+        self.finished = True
+
+    def finish(self) -> None:
+        self.finished = True
+
+
+class Context(scripted.OneUpstreamContext):
+    """Delivery context with several upstreams, which are tried in order."""
+
+    def __init__(self, upstreams: list[Upstream]) -> None:
+        super().__init__(upstreams[0].port)
+        self.upstreams = []
+        for number, scripted_upstream in enumerate(upstreams):
+            upstream = conftest.make_upstream(f'u{number}')
+            upstream.registration.host = '127.0.0.1'
+            upstream.registration.port = scripted_upstream.port
+            self.upstreams.append(upstream)
+
+    def place(
+        self, admitted: admission.Admitted, excluded: frozenset[str], now: float
+    ) -> placement.Choice | None:
+        for upstream in self.upstreams:
+            if upstream.id not in excluded:
+                return placement.Choice(upstream, 0, 0, 1, has_affinity=False)
+        return None
+
+
+async def deliver(
+    *scripts: bytes, streams: bool = False, repeatable: bool = True
+) -> tuple[delivery.Delivery, Reply, list[Upstream]]:
+    """Deliver a request to upstreams with these scripts, in order."""
+    upstreams = [Upstream(script) for script in scripts]
+    for upstream in upstreams:
+        await upstream.listen()
+    admitted = dataclasses.replace(
+        scripted.make_admitted(streams=streams),
+        route=conftest.make_route(
+            streams=streams, repeatable=repeatable, max_attempts=len(scripts)
+        ),
+        deadline=clock.monotonic_seconds() + 5,
+    )
+    caller_reply = Reply()
+    request_delivery = delivery.Delivery(
+        admitted,
+        typing.cast(typing.Any, caller_reply),
+        typing.cast(attempts.DeliveryContext, Context(upstreams)),
+    )
+    await request_delivery.run()
+    return request_delivery, caller_reply, upstreams
+
+
+@pytest.mark.parametrize('streams', [False, True])
+@pytest.mark.parametrize(
+    'answer',
+    [PLAIN, CHUNKED_STREAM, b'%s\r\n' % scripted.HEAD],
+    ids=['length', 'chunks', 'no length'],
+)
+async def test_head_that_stops_midway_is_a_lost_connection(
+    answer: bytes, streams: bool
+) -> None:
+    head_bytes = answer.index(b'\r\n\r\n') + len(b'\r\n\r\n')
+    for sent in range(head_bytes):
+        ended, caller_reply, _ = await deliver(answer[:sent], streams=streams)
+        assert caller_reply.status == 0, answer[:sent]
+        refusal = caller_reply.refusal
+        assert isinstance(refusal, failures.UpstreamFailed)
+        assert refusal.ran is failures.Ran.unknown
+        assert ended.lost_connections == 1, answer[:sent]
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -27,6 +27,7 @@
     exchange.on_header(b'HTTP/1.1 200 OK\r\n')
     exchange.on_header(f'Content-Type: {content_type}\r\n'.encode())
     exchange.on_header(b'Content-Length: 15\r\n')
+    exchange.on_header(b'\r\n')
     return exchange, preempted
 
 
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -334,3 +334,17 @@
         prompt_tokens=3,
         output_tokens=5,
     )
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [CREATED, b'HTTP/1.1 204 No Content\r\n\r\n'],
+    ids=['length', 'no body'],
+)
+async def test_head_that_stops_midway_is_no_answer(answer: bytes) -> None:
+    head_bytes = answer.index(b'\r\n\r\n') + len(b'\r\n\r\n')
+    for sent in range(head_bytes):
+        received, _ = await run(answer[:sent])
+        assert isinstance(received.end, relay_pb2.Failed), answer[:sent]
+        assert received.end.ran != relay_pb2.Ran.NO
+        assert received.head is None
