Let only later events follow a stream that has begun

At the entry a failure that was small enough to be buffered ended the stream visibly, but one over 256 KiB was relayed into it by the branch for large responses. A success with another status, without events, empty, or that began anew was relayed, too, or ended the stream as complete. At the agent an error was refused, but a success of another type was appended to the preempted answer.

A response that resumes a stream now needs the status and media type of the first one, and ids that go on. Anything else is a failed attempt, after which the caller's connection is closed visibly, or a later attempt goes on.

--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -196,3 +196,9 @@
     Without them, the body ends when the connection closes.
     """
     return any(call.header(name) is not None for name in FRAMING_HEADERS)
+
+
+def media_type(call: exchange.Exchange) -> str:
+    """Return the media type of a response, without parameters."""
+    content_type = call.header('content-type') or ''
+    return content_type.partition(';')[0].strip().lower()
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -43,6 +43,8 @@
         self.progress = retry_policy.Progress()
         self.tried_ids: frozenset[str] = frozenset()
         self.events = events.EventBuffer()
+        # Media type of the response that the caller receives.
+        self.stream_type = ''
         self.start_counted = False
         self.attempt_count = 0
         self.upstream_id = ''
@@ -160,11 +162,16 @@
             )
         if kind is response_kind.Kind.foreign:
             return attempts.Failed(failures.Ran.unknown, 'not the answer to it')
+        if self.reply.started and not self._continues_stream(call, kind):
+            return attempts.Failed(
+                failures.Ran.unknown, 'not the rest of the stream'
+            )
         self._count_start(now)
         self.context.record_prefilled_prompt(upstream, self.admitted)
         self.context.crash_tracker.record_start(
             call, upstream, self.admitted, now
         )
+        self.stream_type = attempts.media_type(call)
         if kind is response_kind.Kind.success and self.admitted.route.streams:
             limit_bytes = self.context.response_limits.event_bytes
             return await relay.relay_events(limit_bytes)
@@ -281,6 +288,16 @@
         budget = self.context.retry_budget_for(service, now)
         return budget.try_spend(now, self.context.entry_count())
 
+    def _continues_stream(
+        self, call: exchange.Exchange, kind: response_kind.Kind
+    ) -> bool:
+        """Return whether a response may follow what the caller has received."""
+        return (
+            kind is response_kind.Kind.success
+            and call.status == self.reply.status
+            and attempts.media_type(call) == self.stream_type
+        )
+
     def _can_resume(self) -> bool:
         return self.admitted.route.resumable and bool(self.events.last_id)
 
--- a/cranberryrill/forwarding/relaying.py
+++ b/cranberryrill/forwarding/relaying.py
@@ -69,12 +69,19 @@
     async def relay_events(self, limit_bytes: int) -> attempts.Failed | None:
         """Relay a stream event by event; none may be larger than the limit."""
         call = self.call
+        after_id = self.events.last_id if self.reply.started else ''
         while call.ending is None or call.content:
             if not await self.wait():
                 self.events.drop_partial()
                 return attempts.timed_out()
             complete = self.events.feed(call.read_content())
+            if complete and not events.may_follow(after_id, complete):
+                self.events.drop_partial()
+                return attempts.Failed(
+                    failures.Ran.unknown, 'the stream began anew'
+                )
             if complete:
+                after_id = ''
                 await self._write(complete)
             if len(self.events.partial) > limit_bytes:
                 self.events.drop_partial()
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -290,7 +290,14 @@
             self.abort_reason = f'an event of over {limit} bytes'
 
     def _resumption_failed(self) -> bool:
-        return self.is_resumption and self.status != http.HTTPStatus.OK
+        """Return whether the response can't go on with the answer."""
+        head = self.answer.head
+        if not self.is_resumption or head is None:
+            return False
+        return (
+            self.status != http.HTTPStatus.OK
+            or self.streams_events != _streams_events(head)
+        )
 
     def _stop_if_preempted(self) -> None:
         # An answer that is not streamed is generated before its body arrives,
@@ -329,6 +336,13 @@
         return int(self.stopped or self.answer.end is not None)
 
 
+def _streams_events(head: relay_pb2.Head) -> bool:
+    return any(
+        header.name.lower() == 'content-type' and EVENT_STREAM in header.value
+        for header in head.headers
+    )
+
+
 def _parse_status(line: str) -> int:
     _, _, rest = line.partition(' ')
     digits = rest[:STATUS_DIGITS]
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -19,7 +19,13 @@
 
 STREAM_HEAD = b'%sContent-Type: text/event-stream\r\n' % scripted.HEAD
 CHUNKED_STREAM = b'%sTransfer-Encoding: chunked\r\n\r\n' % STREAM_HEAD
+FIRST_EVENT = b'id: 1\ndata: y\n\n'
 PLAIN = b'%sContent-Length: 2\r\n\r\nok' % scripted.HEAD
+ERROR = (
+    b'HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: a1\r\n'
+    b'X-Upstream-Signature: s\r\nContent-Type: text/plain\r\n'
+    b'Content-Length: %d\r\n\r\n%s'
+)
 LARGE = b'e' * (2 * relaying.MAX_BUFFERED_BYTES)
 # More than is buffered; the rest of an answer is sent a little later.
 FIRST_BYTES = relaying.MAX_BUFFERED_BYTES + 1000
@@ -145,3 +151,52 @@
         assert isinstance(refusal, failures.UpstreamFailed)
         assert refusal.ran is failures.Ran.unknown
         assert ended.lost_connections == 1, answer[:sent]
+
+
+@pytest.mark.parametrize(
+    'next_answer',
+    [
+        pytest.param(ERROR % (2, b'no'), id='error'),
+        pytest.param(ERROR % (len(LARGE), LARGE), id='large error'),
+        pytest.param(PLAIN, id='answer without events'),
+        pytest.param(
+            b'%sContent-Length: 0\r\n\r\n' % scripted.HEAD, id='empty answer'
+        ),
+        pytest.param(
+            b'%sContent-Length: %d\r\n\r\n%s'
+            % (scripted.HEAD, len(LARGE), LARGE),
+            id='large answer without events',
+        ),
+        pytest.param(
+            b'%sContent-Length: 15\r\n\r\nid: 2\ndata: z\n\n'
+            % STREAM_HEAD.replace(b'200 OK', b'206 Partial Content'),
+            id='another status',
+        ),
+        pytest.param(
+            b'%sContent-Length: 15\r\n\r\nid: 1\ndata: y\n\n' % STREAM_HEAD,
+            id='stream that begins anew',
+        ),
+        pytest.param(b'HTTP/1.1 200 OK\r\nX-', id='head that stops midway'),
+    ],
+)
+async def test_only_later_events_follow_a_stream_that_has_begun(
+    next_answer: bytes,
+) -> None:
+    begun = b'%sf\r\n%s\r\n' % (CHUNKED_STREAM, FIRST_EVENT)
+    ended, caller_reply, upstreams = await deliver(
+        begun, next_answer, streams=True
+    )
+    assert [upstream.requests for upstream in upstreams] == [1, 1]
+    assert caller_reply.body == FIRST_EVENT
+    assert not caller_reply.finished
+    assert ended.outcome == 'broken_off'
+
+
+async def test_stream_goes_on_with_later_events() -> None:
+    begun = b'%sf\r\n%s\r\n' % (CHUNKED_STREAM, FIRST_EVENT)
+    later = b'id: 2\ndata: z\n\n'
+    rest = b'%sContent-Length: %d\r\n\r\n%s' % (STREAM_HEAD, len(later), later)
+    ended, caller_reply, _ = await deliver(begun, rest, streams=True)
+    assert caller_reply.body == FIRST_EVENT + later
+    assert caller_reply.finished
+    assert ended.outcome == 'answered'
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -87,3 +87,34 @@
     exchange.finish(1)
     assert bytes(exchange.answer.content) == EVENT
     assert isinstance(exchange.answer.end, relay_pb2.Failed)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        (b'HTTP/1.1 500 Internal Server Error\r\n', b'text/event-stream'),
+        (b'HTTP/1.1 200 OK\r\n', b'application/json'),
+        (b'HTTP/1.1 200 OK\r\n', b''),
+    ],
+    ids=['error', 'another type', 'no type'],
+)
+@pytest.mark.parametrize('body', [BODY, BODY * 100_000, b''])
+def test_only_events_follow_a_stream_that_has_begun(
+    head: tuple[bytes, bytes], body: bytes
+) -> None:
+    begun, preempted = start_exchange('text/event-stream', streamed=True)
+    begun.on_content(EVENT)
+    resumed = transfer.Transfer(
+        begun.call, begun.answer, asyncio.Event(), LIMITS, 1
+    )
+    status_line, content_type = head
+    resumed.on_header(status_line)
+    if content_type:
+        resumed.on_header(b'Content-Type: %s\r\n' % content_type)
+    resumed.on_header(b'Content-Length: %d\r\n' % len(body))
+    resumed.on_header(b'\r\n')
+    if body:
+        resumed.on_content(body)
+    resumed.finish(1)
+    assert bytes(begun.answer.content) == EVENT
+    assert isinstance(begun.answer.end, relay_pb2.Failed)
