Take a rejection only from a response that echoes the attempt id

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection; clients were told `not run, try again` for requests that ran (REFUSED), or such a request ran at a second replica (TWICE).

Every exchange has a connection of its own, at the entry and at the agent, so bytes of an earlier answer can't wait there. But a 421, or a refusal that says `not executed`, counted without any attempt id, so that one written by a replica on its own accord, before it runs the request, had the same effect: the entry sent an unsafe request to a second upstream. One that names another attempt was refused before. The agent reads no refusal from an upstream: each final status counts as run. Between entry and agent each call has its own stream and id.

A rejection without the attempt id is now foreign: it proves nothing, and a 421 without it doesn't mark the upstream as replaced.

--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -199,9 +199,10 @@
         kind = response_kind.classify(
             call, self.admitted.metadata.attempt_id, names
         )
-        if call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        is_own = kind is not response_kind.Kind.foreign
+        if is_own and call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
             upstream.mark_replaced(now)
-        elif kind is not response_kind.Kind.foreign:
+        elif is_own:
             limit = named_limit.read_limit(
                 call.header(names.limit), upstream.id
             )
--- a/cranberryrill/forwarding/response_kind.py
+++ b/cranberryrill/forwarding/response_kind.py
@@ -29,17 +29,21 @@
     """Classify a response whose head has been received.
 
     A response is foreign if it echoes another attempt id, has a content
-    encoding, or reports success without an upstream's signature.
+    encoding, or reports success without an upstream's signature. A rejection
+    must echo the attempt id: one of an earlier request proves nothing.
     """
     echoed_id = call.header(names.attempt)
     if echoed_id is not None and attempt_id and echoed_id != attempt_id:
         return Kind.foreign
     if call.header('content-encoding') is not None:
         return Kind.foreign
-    if call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-        return Kind.rejected
-    if call.header(names.not_executed) is not None:
-        return Kind.rejected
+    is_rejection = (
+        call.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        or call.header(names.not_executed) is not None
+    )
+    if is_rejection:
+        is_own = (echoed_id or '') == attempt_id
+        return Kind.rejected if is_own else Kind.foreign
     if call.status >= MIN_FAILURE_STATUS:
         return Kind.failure
     if call.header(names.signature) is None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -122,6 +122,7 @@
         key = headers.get('Authorization')
         if key is not None:
             self.received_keys.append(key)
+        handler.set_header(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, ''))
         if headers.get(EXPECTED_REPLICA_HEADER) != self.name:
             handler.set_status(MISDIRECTED_REQUEST_STATUS)
             return False
@@ -133,7 +134,6 @@
                 time.time(),
             ),
         )
-        handler.set_header(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, ''))
         if self.limit is not None:
             handler.set_header(LIMIT_HEADER, self.limit)
         handler.set_header(SIGNATURE_HEADER, f'signed-{self.name}')
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -200,3 +200,27 @@
     assert caller_reply.body == FIRST_EVENT + later
     assert caller_reply.finished
     assert ended.outcome == 'answered'
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        pytest.param(b'503 Service Unavailable\r\nX-Not-Executed: 1', id='503'),
+        pytest.param(b'421 Misdirected Request', id='421'),
+    ],
+)
+@pytest.mark.parametrize('attempt_id', [b'', b'X-Attempt-Id: earlier\r\n'])
+async def test_refusal_that_may_be_of_another_request_proves_nothing(
+    refusal: bytes, attempt_id: bytes
+) -> None:
+    answer = b'HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n' % (
+        refusal,
+        attempt_id,
+    )
+    ended, caller_reply, upstreams = await deliver(
+        answer, PLAIN, repeatable=False
+    )
+    assert upstreams[1].requests == 0
+    assert isinstance(caller_reply.refusal, failures.UpstreamFailed)
+    assert caller_reply.refusal.ran is failures.Ran.unknown
+    assert not ended.start_counted
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -153,7 +153,8 @@
 
 async def test_response_before_the_body_is_sent_ends_the_exchange() -> None:
     refusal = (
-        b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n'
+        b'HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n'
+        b'X-Attempt-Id: a1\r\n\r\n'
     )
     call, _ = await exchange_with(responds_with(refusal), body=b'b' * 3_000_000)
     assert (
