Let only a success show that an upstream survives a request

A 500 to a fatal request or part cleared the evidence on it, although an upstream may fail before it comes to what would crash it: some fail a part of their requests while healthy.

Before: a failure was kept as a response to be survived; now only a success is (test_broken_answers).

--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -86,7 +86,9 @@
             choice = self.context.place(self.admitted, self.tried_ids, now)
             if choice is not None:
                 return choice
-            if self.tried_ids or not self._awaits_limits(now):
+            if self.tried_ids or not self.context.limits_used_up(
+                self.admitted, now
+            ):
                 retry_after = self.context.backoff(self.admitted, now)
                 await self._refuse(
                     refusals.no_upstream(self.progress.ran, retry_after)
@@ -95,9 +97,6 @@
             # Another request was sent first and used up the limits.
         return None
 
-    def _awaits_limits(self, now: float) -> bool:
-        return self.context.limits_used_up(self.admitted, now)
-
     async def _refuse_quarantined(self) -> bool:
         """Refuse a request that crashes upstreams; return whether it does."""
         key = self.context.crash_tracker.quarantined_key(
@@ -168,11 +167,14 @@
             )
         self._count_start(now)
         self.context.record_prefilled_prompt(upstream, self.admitted)
-        self.context.crash_tracker.record_start(
-            call, upstream, self.admitted, now
-        )
         self.stream_type = attempts.media_type(call)
-        if kind is response_kind.Kind.success and self.admitted.route.streams:
+        is_success = kind is response_kind.Kind.success
+        if is_success:
+            # An upstream may fail before it comes to what would crash it.
+            self.context.crash_tracker.record_start(
+                call, upstream, self.admitted, now
+            )
+        if is_success and self.admitted.route.streams:
             limit_bytes = self.context.response_limits.event_bytes
             return await relay.relay_events(limit_bytes)
         return await relay.relay_buffered(kind)
--- a/tests/forwarding/test_broken_answers.py
+++ b/tests/forwarding/test_broken_answers.py
@@ -224,3 +224,14 @@
     assert isinstance(caller_reply.refusal, failures.UpstreamFailed)
     assert caller_reply.refusal.ran is failures.Ran.unknown
     assert not ended.start_counted
+
+
+@pytest.mark.parametrize(
+    ('answer', 'starts'), [(PLAIN, 1), (ERROR % (2, b'no'), 0)]
+)
+async def test_failure_does_not_show_that_an_upstream_survives_a_request(
+    answer: bytes, starts: int
+) -> None:
+    ended, _, _ = await deliver(answer)
+    tracker = ended.context.crash_tracker
+    assert len(tracker.responses) == starts
