--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -43,8 +43,7 @@
         self.progress = retry_policy.Progress()
         self.tried_ids: frozenset[str] = frozenset()
         self.events = events.EventBuffer()
-        # Media type of the response that the caller receives.
-        self.stream_type = ''
+        self.media_type = ''
         self.start_counted = False
         self.attempt_count = 0
         self.upstream_id = ''
@@ -167,7 +166,7 @@
             )
         self._count_start(now)
         self.context.record_prefilled_prompt(upstream, self.admitted)
-        self.stream_type = attempts.media_type(call)
+        self.media_type = attempts.media_type(call)
         is_success = kind is response_kind.Kind.success
         if is_success:
             # An upstream may fail before it comes to what would crash it.
@@ -295,11 +294,10 @@
         self, call: exchange.Exchange, kind: response_kind.Kind
     ) -> bool:
         """Return whether a response may follow what the caller has received."""
-        return (
-            kind is response_kind.Kind.success
-            and call.status == self.reply.status
-            and attempts.media_type(call) == self.stream_type
-        )
+        if kind is not response_kind.Kind.success:
+            return False
+        head = (call.status, attempts.media_type(call))
+        return head == (self.reply.status, self.media_type)
 
     def _can_resume(self) -> bool:
         return self.admitted.route.resumable and bool(self.events.last_id)
