--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -249,13 +249,13 @@
         is_certain = failed is not None and (
             failed.connection_lost or failed.timed_out
         )
-        # An answer that isn't the upstream's own may be cut off, too.
-        may_be_cut_off = (
+        # What isn't a success may be the last that the upstream has sent.
+        may_be_last = (
             not attempts.has_framing(call)
             if failed is None
             else failed.ran is not failures.Ran.no
         )
-        if is_certain or may_be_cut_off:
+        if is_certain or may_be_last:
             tracker.record_loss(
                 choice.upstream,
                 self.admitted,
@@ -308,7 +308,7 @@
         self.progress = self.progress.with_attempt(failed.ran)
         self.tried_ids |= {choice.upstream.id}
         self.lost_connections += failed.connection_lost
-        # Hashing the body of each failed request would cost too much.
+        # Only evidence of a crash is worth a digest of the body.
         key = self.admitted.full_key if failed.connection_lost else None
         LOGGER.info(
             'attempt failed',
