--- a/tests/settings/test_quarantine_limits.py
+++ b/tests/settings/test_quarantine_limits.py
@@ -35,6 +35,8 @@
         {'idle_seconds': 0},
         {'evidence_seconds': -5},
         {'max_parts': 0},
+        {'request_crashes': -1},
+        {'max_requests': 0},
         {'unknown': 1},
     ],
 )
