Let no request explain the crashes of another

Crashes are explained by quarantined parts alone now. To refuse a request costs no other, so requests need no such exclusion; the share of ends is still taken without those under other suspected requests.

The new test failed before.

--- a/cranberryrill/quarantine/verdict.py
+++ b/cranberryrill/quarantine/verdict.py
@@ -78,16 +78,16 @@
 ) -> Suspects:
     """Return all requests with enough evidence.
 
-    Requests that nothing tells apart are all refused, which costs no other one.
+    To refuse one costs no other, so a request that may have been open by chance
+    explains no crashes of another one.
     """
     ended = _ends(evidence)
-    explained = _explained(evidence, is_request=False) | _explained(
-        evidence, is_request=True
-    )
-    in_requests = _ended_under_requests(suspects)
+    explained = _explained(evidence, is_request=False)
+    in_requests = _explained(evidence, is_request=True)
+    in_requests |= _ended_under_requests(suspects)
     fatal = []
     for record, required in _by_likelihood(suspects, limits, is_request=True):
-        # Ends under other suspects don't speak for this one.
+        # Ends under other requests don't speak for this one.
         others = in_requests - _incarnations(record)
         relevant = _without(ended, explained | others)
         if _is_fatal(record, required, explained, relevant):
--- a/tests/quarantine/test_verdict.py
+++ b/tests/quarantine/test_verdict.py
@@ -234,3 +234,17 @@
             replay.crash_at(second + number * spread, number)
     replay.run(60)
     assert not replay.sound_refused
+
+
+def test_quarantined_bystander_does_not_cover_up_the_fatal_request() -> None:
+    evidence = conftest.make_ledger()
+    bystander, fatal = (conftest.request_key_of(name) for name in 'bf')
+    for number in range(REQUEST_CRASHES):
+        crash = conftest.make_crash(number, number, position=0)
+        evidence.record_crash(bystander, crash)
+    assert evidence.quarantine(4) == [bystander]
+    # What another entry saw of the same crashes arrives later.
+    for number in range(REQUEST_CRASHES):
+        crash = conftest.make_crash(number, number, position=0)
+        evidence.record_crash(fatal, crash)
+    assert evidence.quarantine(5) == [fatal]
