Keep the reservations of the port tests apart from those of other runs

The tests draw from ranges of ten and of two ports, and the other run held those, as reservations last until a process ends. They now reserve in a file of their own.

--- a/tests/bench/test_web.py
+++ b/tests/bench/test_web.py
@@ -1,5 +1,6 @@
 """Ports are given once, and a wait that fails shows the ended processes."""
 
+import os
 import pathlib
 import subprocess
 import sys
@@ -9,6 +10,9 @@
 from bench import processes, web
 
 PORTS = (19_990, 20_000)
+# Runs at the same time must not meet in a range as small as this.
+FIRST_PORT = 19_000 + os.getpid() % 900
+TWO_PORTS = (FIRST_PORT, FIRST_PORT + 2)
 DRAW_PORTS = """
 import sys
 from bench import web
@@ -17,6 +21,17 @@
 """
 
 
+@pytest.fixture(autouse=True)
+def own_reservations(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Keep reservations apart from those of other runs."""
+    monkeypatch.setenv('TMPDIR', str(tmp_path))
+    name = f'cranberryrill-ports-{os.getuid()}'
+    reservations = web.PortReservations(tmp_path / name)
+    monkeypatch.setattr(web, '_reservations', lambda: reservations)
+
+
 def test_port_is_not_given_twice(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(web, 'PORT_RANGE', PORTS)
     ports = [web.free_port() for _ in range(6)]
@@ -31,7 +46,7 @@
 
 
 def test_exhausted_ports_are_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(web, 'PORT_RANGE', (19_980, 19_982))
+    monkeypatch.setattr(web, 'PORT_RANGE', TWO_PORTS)
     web.free_port()
     web.free_port()
     with pytest.raises(web.NoFreePort):
