--- a/cranberryrill/quarantine/verdict.py
+++ b/cranberryrill/quarantine/verdict.py
@@ -67,7 +67,7 @@
     if not suspects:
         return []
     fatal_requests = _fatal_requests(evidence, suspects, limits)
-    fatal_parts = _fatal_parts(evidence, suspects, fatal_requests, limits)
+    fatal_parts = _fatal_parts(evidence, suspects, limits)
     return [record.key for record in (*fatal_requests, *fatal_parts)]
 
 
@@ -98,7 +98,6 @@
 def _fatal_parts(
     evidence: Evidence,
     suspects: Suspects,
-    fatal_requests: Suspects,
     limits: quarantine_limits.QuarantineLimits,
 ) -> Suspects:
     """Return the parts with enough evidence beside that on requests.
@@ -108,7 +107,7 @@
     ended = _ends(evidence)
     by_parts = _explained(evidence, is_request=False)
     by_requests = _explained(evidence, is_request=True)
-    by_requests |= _ended_under_requests((*suspects, *fatal_requests))
+    by_requests |= _ended_under_requests(suspects)
     fatal = []
     for record, required in _by_likelihood(suspects, limits, is_request=False):
         explained = by_parts | by_requests
