--- a/review/lib/small_fleet.py
+++ b/review/lib/small_fleet.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import tomllib
 
@@ -35,6 +36,8 @@
     """Machines with a disk, each with the roles control and entry."""
 
     def __init__(self, machines=4, outside=''):
+        # So that `finally` ends the processes, however the script is ended.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         rng = random.SystemRandom()
         self.network = f'127.{rng.randrange(20, 240)}.{rng.randrange(1, 250)}'
         self.hosts = [f'{self.network}.{n + 1}' for n in range(machines)]
