Show the lost departure with a planned stop, too

HOW=stop sends SIGTERM instead of SIGKILL: a member that is stopped in turn takes an acknowledged departure with it as well, since its exchange is cancelled.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -14,6 +15,8 @@
 from lib import outside, small_fleet
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+# With HOW=stop the member gets SIGTERM, and is started again once it has ended.
+SIGNAL = signal.SIGTERM if os.environ.get('HOW') == 'stop' else signal.SIGKILL
 CONTACT_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
 RESTART_SECONDS = 0.5
@@ -91,15 +94,16 @@
             controls[member], 'DELETE', f'/api/replicas/{leaving.name}'
         )
         if TROUBLE:
-            fleet.kill(member, 'control')
+            fleet.send(member, 'control', SIGNAL)
         acknowledged = time.monotonic()
         stable = acknowledged
         record(f'DELETE {leaving.name} answered {status} by front-{member}')
         if status != 200:
             return None
         if TROUBLE:
-            record(f'kill control of front-{member}')
+            record(f'{SIGNAL.name} to control of front-{member}')
             await asyncio.sleep(RESTART_SECONDS)
+            await asyncio.to_thread(fleet.processes[member, 'control'].wait)
             fleet.start(member, 'control')
             record(f'start control of front-{member}')
             stable = time.monotonic() + CONTACT_SECONDS
