Commit an upstream's departure before it is acknowledged

Cause: the 200 came from the memory of one member, up to 0.25 s before the exchange told another one. Evidence: no entry logs the replica under 'gone' between the 200 and 'upstream silent'. Ruled out: that entries placed requests on a replica that they knew to be gone, or that a full update brought it back.

A departure, whether the first heartbeat that says so or a deregistration, is now a command of the replicated log. The answer waits for its commit, 0.9 s at most, and is 503 otherwise, so that the replica asks the next member. An upstream that the asked member doesn't know is looked for, where before it was acknowledged and forgotten. Heartbeats don't go to the log.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -26,6 +26,7 @@
 CONTROL_OFFSET = 10
 USAGE_WINDOW_SECONDS = 2
 SEED_COUNT = 3
+HEARTBEAT_MS = 400
 # Offsets in the last byte of a VM's address. With links, other processes
 # connect to the link at `host`, which forwards to the VM at `bind_host`.
 LINK_OFFSET = 60
@@ -43,6 +44,8 @@
     has_disk: bool = True
     # Address that the internal ports bind to behind a link; empty for `host`.
     bind_host: str = ''
+    # Interval of the upstreams' heartbeats that control members expect.
+    heartbeat_ms: int = HEARTBEAT_MS
 
     def internal_port(self, base_port: int) -> int:
         """Return the port of this role for traffic between processes."""
@@ -70,7 +73,7 @@
             'seeds': seeds,
             'trust': 'network',
             'founds': founds,
-            'heartbeat_ms': 400,
+            'heartbeat_ms': self.heartbeat_ms,
             'bounds': {
                 'usage_window_seconds': USAGE_WINDOW_SECONDS,
                 'retry_slack': 60,
@@ -156,6 +159,13 @@
         """Return the address of an entry's readiness endpoint."""
         return f'{self.entries[index].host}:{self.base_port + READINESS_OFFSET}'
 
+    def set_heartbeat(self, milliseconds: int) -> None:
+        """Set the heartbeat interval with which members will be started."""
+        self.members = [
+            dataclasses.replace(vm, heartbeat_ms=milliseconds)
+            for vm in self.members
+        ]
+
     def start_all(self) -> None:
         """Start every process, as the first start of the whole system."""
         for vm in (*self.members, *self.entries):
--- a/cranberryrill/membership/watch_service.py
+++ b/cranberryrill/membership/watch_service.py
@@ -262,12 +262,17 @@
                 self.wake()
 
     async def run_commit_wakes(self) -> None:
-        """Wake every watch when a commit changes the configuration revision."""
-        local = self.member
-        pushed_revision = self.state.configuration.revision
+        """Wake every watch when a commit changes what it pushes.
+
+        That is the configuration, or the upstreams that have departed.
+        """
+        pushed = self._versions()
         while True:
-            async with local.committed:
-                await local.committed.wait()
-            if self.state.configuration.revision != pushed_revision:
-                pushed_revision = self.state.configuration.revision
+            async with self.member.committed:
+                await self.member.committed.wait()
+            if self._versions() != pushed:
+                pushed = self._versions()
                 self.wake()
+
+    def _versions(self) -> tuple[int, int]:
+        return self.state.configuration.revision, self.registry.version
--- a/cranberryrill/programs/fleet_control.py
+++ b/cranberryrill/programs/fleet_control.py
@@ -6,13 +6,14 @@
 import pathlib
 from collections import abc
 
+import result
 from tornado import httpserver, web
 
 from cranberryrill import clock, tasks, transport
 from cranberryrill.authority import holder, platform_client
 from cranberryrill.forwarding import usage_counter
 from cranberryrill.programs import disk_recovery, replicated_state, shutdown
-from cranberryrill.registry import registry_pb2
+from cranberryrill.registry import departure_recorder, registry_pb2
 from cranberryrill.replication import compaction, files, folder_lock, voters
 from cranberryrill.settings import fleet
 from cranberryrill.traffic import publisher
@@ -127,34 +128,55 @@
         LOGGER.info('settings reloaded', extra={'seeds': settings.seeds})
         self.replicated.roster.add_all(settings.seed_hosts)
 
-    def register(
+    async def register(
         self,
         registration: registry_pb2.Registration,
         now: float,
-    ) -> None:
-        """Record a heartbeat; wake the watchers if the upstreams changed."""
+    ) -> result.Result[None, departure_recorder.NotRecorded]:
+        """Record a heartbeat; wake the watchers if the upstreams changed.
+
+        The first one with which an upstream leaves may be acknowledged only if
+        the result is not an error.
+        """
         registry = self.replicated.registry
         version = registry.version
         accepted = registry.record(registration, now)
-        if registry.version == version:
-            return
-        LOGGER.info(
-            'upstream registered',
-            extra={
-                'upstream': registration.id,
-                'service': registration.service,
-                'leaving': registration.leaving,
-                'sequence': registration.sequence,
-                'taken': accepted,
-            },
+        if registry.version != version:
+            LOGGER.info(
+                'upstream registered',
+                extra={
+                    'upstream': registration.id,
+                    'service': registration.service,
+                    'leaving': registration.leaving,
+                    'sequence': registration.sequence,
+                    'taken': accepted,
+                },
+            )
+            self.replicated.membership_service.wake()
+        if not registration.leaving:
+            return result.Ok(None)
+        return await self.replicated.departure_recorder.commit(
+            registry_pb2.RecordDeparture(registration=registration), now
         )
-        self.replicated.membership_service.wake()
 
-    def deregister(self, upstream: str, now: float) -> None:
-        """Remove an upstream that announced its end."""
-        if self.replicated.registry.remove(upstream, now):
+    async def deregister(
+        self, upstream: str, now: float
+    ) -> result.Result[None, departure_recorder.NotRecorded]:
+        """Remove an upstream that announced its end.
+
+        It may be acknowledged only if the result is not an error.
+        """
+        recorder = self.replicated.departure_recorder
+        registration = await recorder.find(upstream, now)
+        if self.replicated.registry.record(registration, now, removed=True):
             LOGGER.info('upstream ended', extra={'upstream': upstream})
             self.replicated.membership_service.wake()
+        return await recorder.commit(
+            registry_pb2.RecordDeparture(
+                registration=registration, removed=True
+            ),
+            now,
+        )
 
     def _start_duties(self) -> None:
         platform = self.settings.outside
--- a/cranberryrill/programs/replicated_state.py
+++ b/cranberryrill/programs/replicated_state.py
@@ -1,6 +1,7 @@
 """Replicated state of a control member, with the tasks that maintain it."""
 
 import dataclasses
+import logging
 import pathlib
 import random
 
@@ -10,7 +11,12 @@
 from cranberryrill.configuration import state
 from cranberryrill.membership import directory, peer_exchange, watch_service
 from cranberryrill.quarantine import ledger
-from cranberryrill.registry import table
+from cranberryrill.registry import (
+    departure_recorder,
+    departures,
+    registry_pb2,
+    table,
+)
 from cranberryrill.replication import (
     compaction,
     election,
@@ -31,6 +37,8 @@
 from cranberryrill.state import machine, submission
 from cranberryrill.usage import clock_windows, windows
 
+LOGGER = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(frozen=True)
 class MemberOptions:
@@ -91,6 +99,7 @@
         self.usage = windows.UsageState()
         self.clock_usage = clock_windows.ClockWindowsState()
         self.orders = intents.AuthorityState()
+        self.departures = departures.DeparturesState(self._on_departure)
         self.member = self._open_member(options)
         self.peers = peers.Peers(dialer, options.others)
         self.roster = roster.Roster(
@@ -105,6 +114,9 @@
         )
         self.evidence = ledger.Ledger(options.quarantine)
         self.proposer = proposals.Proposer(self.member, self.peers)
+        self.departure_recorder = departure_recorder.DepartureRecorder(
+            self.registry, self.departures, self.proposer
+        )
         self.founder = group_founder.Founder(
             self.member,
             self.peers,
@@ -171,6 +183,21 @@
         self.peers.close()
         self.member.store.close()
 
+    def _on_departure(self, departure: registry_pb2.RecordDeparture) -> None:
+        taken = self.registry.record(
+            departure.registration,
+            clock.monotonic_seconds(),
+            removed=departure.removed,
+        )
+        LOGGER.info(
+            'departure recorded',
+            extra={
+                'upstream': departure.registration.id,
+                'removed': departure.removed,
+                'taken': taken,
+            },
+        )
+
     def _make_membership_service(self) -> watch_service.MembershipService:
         return watch_service.MembershipService(
             self.member,
@@ -200,6 +227,7 @@
             self.usage,
             self.clock_usage,
             self.orders,
+            self.departures,
         ]
         member_store = store.Store(options.data_folder, options.lock)
         return member.Member(
--- /dev/null
+++ b/cranberryrill/registry/departure_recorder.py
@@ -0,0 +1,95 @@
+"""Commit the departures of upstreams before they are acknowledged."""
+
+import asyncio
+import dataclasses
+import logging
+
+import result
+
+from cranberryrill import clock, failures
+from cranberryrill.registry import departures, registry_pb2, table
+from cranberryrill.replication import proposals
+from cranberryrill.state import commands_pb2
+
+LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
+# An upstream calls another member after a second without an answer.
+ANSWER_TIMEOUT_SECONDS = 0.9
+# Members learn of each other's registrations within two exchanges.
+SIGHTING_TIMEOUT_SECONDS = 0.5
+SIGHTING_POLL_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRecorded(failures.Failure):
+    """No majority stored the departure in time; it may still be committed."""
+
+    code = 'departure_not_recorded'
+    status = 503
+
+
+class DepartureRecorder:
+    """Record departures in this member at once, and in the log of all."""
+
+    def __init__(
+        self,
+        registry: table.RegistrationTable,
+        recorded: departures.DeparturesState,
+        proposer: proposals.Proposer,
+    ) -> None:
+        self.registry = registry
+        self.recorded = recorded
+        self.proposer = proposer
+
+    async def find(
+        self, upstream: str, now: float
+    ) -> registry_pb2.Registration:
+        """Return the newest registration of an upstream.
+
+        An upstream may register at one member and deregister at another, so an
+        unknown one is awaited for a moment. If it stays unknown, the result
+        stands for each incarnation that has started up to now.
+        """
+        deadline = now + SIGHTING_TIMEOUT_SECONDS
+        while upstream not in self.registry.records:
+            if clock.monotonic_seconds() >= deadline:
+                return registry_pb2.Registration(
+                    id=upstream, started_unix_ms=clock.unix_milliseconds()
+                )
+            await asyncio.sleep(SIGHTING_POLL_SECONDS)
+        return self.registry.records[upstream].registration
+
+    async def commit(
+        self, departure: registry_pb2.RecordDeparture, now: float
+    ) -> result.Result[None, NotRecorded]:
+        """Commit a departure that was announced at `now`.
+
+        After an error it must not be acknowledged.
+        """
+        if self.recorded.covers(departure):
+            return result.Ok(None)
+        command = commands_pb2.Command(record_departure=departure)
+        deadline = now + ANSWER_TIMEOUT_SECONDS
+        outcome: proposals.Outcome | None = None
+        try:
+            async with asyncio.timeout(deadline - clock.monotonic_seconds()):
+                outcome = await self.proposer.propose_until(
+                    command.SerializeToString(), deadline
+                )
+        except TimeoutError:
+            LOGGER.debug('no outcome of a departure in time')
+        is_committed = isinstance(outcome, result.Ok)
+        seconds = clock.monotonic_seconds() - now
+        LOGGER.info(
+            'departure announced',
+            extra={
+                'upstream': departure.registration.id,
+                'started_unix_ms': departure.registration.started_unix_ms,
+                'removed': departure.removed,
+                'committed': is_committed,
+                'elapsed_ms': int(seconds * MILLISECONDS_PER_SECOND),
+            },
+        )
+        if is_committed:
+            return result.Ok(None)
+        return result.Err(NotRecorded('the departure is not committed'))
--- /dev/null
+++ b/cranberryrill/registry/departures.py
@@ -0,0 +1,71 @@
+"""Replicated state of the upstreams that have announced their departure.
+
+An acknowledged departure must hold whatever becomes of the member that
+acknowledged it, so it is committed to the log first. Heartbeats are not: an
+upstream sends the next one soon, but it announces its departure only once.
+"""
+
+import collections
+from collections import abc as collection_types
+
+from google.protobuf import message
+
+from cranberryrill.registry import registry_pb2
+from cranberryrill.state import commands_pb2
+
+# A few days of departures at 230 restarts a day; about 100 bytes each.
+MAX_DEPARTURES = 2048
+
+OnRecorded = collection_types.Callable[[registry_pb2.RecordDeparture], None]
+
+
+class DeparturesState:
+    """Slice of the replicated state with the newest departure of each id."""
+
+    name = 'departures'
+    kinds = ('record_departure',)
+
+    def __init__(self, on_recorded: OnRecorded) -> None:
+        # Called with each departure that is applied.
+        self.on_recorded = on_recorded
+        self.by_id: collections.OrderedDict[
+            str, registry_pb2.RecordDeparture
+        ] = collections.OrderedDict()
+
+    def covers(self, departure: registry_pb2.RecordDeparture) -> bool:
+        """Return whether this or a later departure of the id is recorded."""
+        recorded = self.by_id.get(departure.registration.id)
+        return recorded is not None and _order(recorded) >= _order(departure)
+
+    def apply(
+        self,
+        command: commands_pb2.Command,
+        index: int,
+        unix_ms: int,
+    ) -> message.Message:
+        """Record a departure, unless a later one of the id is recorded."""
+        departure = command.record_departure
+        if not self.covers(departure):
+            self.by_id[departure.registration.id] = departure
+            self.by_id.move_to_end(departure.registration.id)
+            while len(self.by_id) > MAX_DEPARTURES:
+                self.by_id.popitem(last=False)
+            self.on_recorded(departure)
+        return registry_pb2.DepartureOutcome()
+
+    def dump(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        dump = registry_pb2.DeparturesDump(departures=self.by_id.values())
+        return dump.SerializeToString(deterministic=True)
+
+    def load(self, content: bytes) -> None:
+        """Replace the state with the content of a snapshot."""
+        dump = registry_pb2.DeparturesDump.FromString(content)
+        self.by_id = collections.OrderedDict(
+            (departure.registration.id, departure)
+            for departure in dump.departures
+        )
+
+
+def _order(departure: registry_pb2.RecordDeparture) -> tuple[int, bool]:
+    return departure.registration.started_unix_ms, departure.removed
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -71,14 +71,6 @@
             self._remove_replaced(registration, now)
         return True
 
-    def remove(self, upstream: str, now: float) -> bool:
-        """Mark an upstream as ended; return whether it was registered."""
-        record = self.records.get(upstream)
-        if record is None or record.removed:
-            return False
-        self._store(record.registration, now, removed=True)
-        return True
-
     def expire(self, now: float) -> list[str]:
         """Drop upstreams that missed their heartbeats and return their names.
 
--- a/tests/registry/test_table.py
+++ b/tests/registry/test_table.py
@@ -37,7 +37,7 @@
 def test_heartbeat_after_removal_is_ignored() -> None:
     registry = table.RegistrationTable()
     registry.record(registration(sequence=5), NOW)
-    registry.remove('u1', NOW + 1)
+    registry.record(registration(sequence=5), NOW + 1, removed=True)
     assert not registry.record(registration(sequence=6), NOW + 2)
     assert not registry.registrations()
 
@@ -107,6 +107,6 @@
     registry.record(registration(sequence=3, leaving=True), NOW + 2)
     changed = watcher.next_update(registry, NOW)
     assert changed is not None and changed.present[0].leaving
-    registry.remove('u1', NOW + 3)
+    registry.record(registration(sequence=3), NOW + 3, removed=True)
     gone = watcher.next_update(registry, NOW)
     assert gone is not None and list(gone.gone) == ['u1']
--- /dev/null
+++ b/tests/system/test_departures.py
@@ -0,0 +1,61 @@
+"""An acknowledged departure holds whatever becomes of control members."""
+
+import asyncio
+import pathlib
+import time
+
+from bench import processes
+from standins import fleet as outside
+from tests.system import test_fleet
+
+# Upstreams expire after five of these, later than these tests end.
+SLOW_HEARTBEAT_MS = 1200
+# A member that has lost its leader needs an election.
+SETTLE_SECONDS = 3.0
+LOAD_SECONDS = 1.5
+
+
+async def leave(
+    system: test_fleet.System, leaving: outside.Replica, member: int
+) -> None:
+    """Stop the heartbeats of a replica and deregister it at one member."""
+    leaving.control_addresses = []
+    address = system.fleet.control_addresses[member]
+    url = f'http://{address}/api/replicas/{leaving.name}'
+    assert await outside.send_request(url, 'DELETE') == 200
+
+
+async def count_requests(
+    system: test_fleet.System, leaving: outside.Replica
+) -> int:
+    """Return how many requests reach a replica under load from all entries."""
+    before = len(leaving.handled_requests)
+    deadline = time.monotonic() + LOAD_SECONDS
+    while time.monotonic() < deadline:
+        await system.post('/order/1', 0)
+        await system.post('/order/1', 1)
+    return len(leaving.handled_requests) - before
+
+
+def member_process(system: test_fleet.System, number: int) -> processes.Process:
+    name = system.fleet.members[number].name
+    return system.fleet.processes_by_name[name]
+
+
+async def test_departure_survives_the_member_that_acknowledged_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Failed when the 200 came from the memory of one member, which was killed
+    # before it had told the others.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        leaving = system.replicas[2]
+        await leave(system, leaving, 0)
+        member_process(system, 0).kill()
+        await asyncio.sleep(0.5)
+        system.fleet.start(system.fleet.members[0])
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert await count_requests(system, leaving) == 0
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -115,11 +115,13 @@
 async def run_system(
     folder: pathlib.Path,
     make_replicas: abc.Callable[[list[str]], list[outside.Replica]],
+    heartbeat_ms: int = fleet.HEARTBEAT_MS,
     **shape: typing.Any,
 ) -> abc.AsyncIterator[System]:
     """Run a fleet of this shape with its stand-ins until the block ends.
 
-    `make_replicas` takes the addresses of the control members.
+    `make_replicas` takes the addresses of the control members, which expect a
+    heartbeat every `heartbeat_ms`.
     """
     reports = outside.UsageReportServer()
     reports.start()
@@ -129,6 +131,7 @@
         outside=f'127.0.0.1:{reports.port}',
         **shape,
     )
+    running.set_heartbeat(heartbeat_ms)
     replicas = make_replicas(running.control_addresses)
     heartbeats = []
     try:
@@ -295,8 +298,12 @@
 async def test_vm_without_a_disk_redirects_its_callers(
     tmp_path: pathlib.Path,
 ) -> None:
-    shape = {'members': 4, 'diskless': frozenset((0, 3))}
-    async with run_system(tmp_path, two_replicas_each, **shape) as system:
+    async with run_system(
+        tmp_path,
+        two_replicas_each,
+        members=4,
+        diskless=frozenset((0, 3)),
+    ) as system:
         for number in (0, 3):
             address = system.fleet.control_addresses[number]
             url = f'http://{address}/api/configuration'
