Keep the departures of upstreams through a restart of all members

Cause: the records that tell a late heartbeat from a new replica were only in memory. Evidence: 'upstream registered' with a sequence number from before 'upstream ended'. Ruled out: the comparison of born and sequence, which is sound while one member runs on; a full update, as entries kept two replicas until then.

--- a/cranberryrill/membership/watch_service.py
+++ b/cranberryrill/membership/watch_service.py
@@ -36,7 +36,10 @@
         self.revision = 0
         # Sequence and arrival time of the renewals without a grant yet.
         self.renewals: list[tuple[int, float]] = []
-        self.last_renewal_at = clock.monotonic_seconds()
+        self.opened_at = clock.monotonic_seconds()
+        self.last_renewal_at = self.opened_at
+        # Whether the watcher has a state, and so upstreams, from elsewhere.
+        self.has_moved = False
         self.cursor = directory.Cursor()
         self.directory_version = -1
         self.registry_cursor = cursor.Cursor()
@@ -51,6 +54,7 @@
             self.last_renewal_at = now
             if not self.process:
                 self.revision = renewal.revision
+                self.has_moved = bool(renewal.revision)
             self.process = renewal.announcement.process
             # Only entries choose among agents. If every process got the
             # directory, its cost would grow with the square of their number.
@@ -79,7 +83,7 @@
             freshness = self.service.member.freshness
             await self._push_state()
             await self.push_directory(clock.monotonic_seconds())
-            await self._push_registry(clock.monotonic_seconds())
+            await self.push_registry(freshness, clock.monotonic_seconds())
             # Before the grants, so that a process that has just started knows
             # the quarantined parts when it begins to serve.
             await self._push_evidence(clock.monotonic_seconds())
@@ -118,9 +122,18 @@
             )
             await self.stream.send_message(membership_pb2.Push(grant=grant))
 
-    async def _push_registry(self, now: float) -> None:
+    async def push_registry(
+        self, freshness: member.Freshness, now: float
+    ) -> None:
+        """Push changes of the registry if the watcher needs it.
+
+        A watcher that knows upstreams is sent nothing before a proof that this
+        member has every departure that the watcher may know of.
+        """
         if not self.needs_directory:
             return
+        if self.has_moved and freshness.as_of < self.opened_at:
+            return
         process_directory = self.service.directory
         if not process_directory.is_ready(self.service.member.peers, now):
             return
--- a/cranberryrill/programs/replicated_state.py
+++ b/cranberryrill/programs/replicated_state.py
@@ -1,7 +1,6 @@
 """Replicated state of a control member, with the tasks that maintain it."""
 
 import dataclasses
-import logging
 import pathlib
 import random
 
@@ -37,8 +36,6 @@
 from cranberryrill.state import machine, submission
 from cranberryrill.usage import clock_windows, windows
 
-LOGGER = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(frozen=True)
 class MemberOptions:
@@ -99,7 +96,10 @@
         self.usage = windows.UsageState()
         self.clock_usage = clock_windows.ClockWindowsState()
         self.orders = intents.AuthorityState()
-        self.departures = departures.DeparturesState(self._on_departure)
+        self.registry = table.RegistrationTable(
+            options.heartbeat_seconds, clock.monotonic_seconds()
+        )
+        self.departures = departures.DeparturesState(self._register_departure)
         self.member = self._open_member(options)
         self.peers = peers.Peers(dialer, options.others)
         self.roster = roster.Roster(
@@ -109,9 +109,6 @@
             fixed=options.fixed,
         )
         self.directory = directory.Directory(clock.monotonic_seconds())
-        self.registry = table.RegistrationTable(
-            options.heartbeat_seconds, clock.monotonic_seconds()
-        )
         self.evidence = ledger.Ledger(options.quarantine)
         self.proposer = proposals.Proposer(self.member, self.peers)
         self.departure_recorder = departure_recorder.DepartureRecorder(
@@ -183,20 +180,14 @@
         self.peers.close()
         self.member.store.close()
 
-    def _on_departure(self, departure: registry_pb2.RecordDeparture) -> None:
-        taken = self.registry.record(
+    def _register_departure(
+        self, departure: registry_pb2.RecordDeparture
+    ) -> bool:
+        return self.registry.record(
             departure.registration,
             clock.monotonic_seconds(),
             removed=departure.removed,
         )
-        LOGGER.info(
-            'departure recorded',
-            extra={
-                'upstream': departure.registration.id,
-                'removed': departure.removed,
-                'taken': taken,
-            },
-        )
 
     def _make_membership_service(self) -> watch_service.MembershipService:
         return watch_service.MembershipService(
--- a/cranberryrill/registry/departures.py
+++ b/cranberryrill/registry/departures.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import logging
 from collections import abc as collection_types
 
 from google.protobuf import message
@@ -13,21 +14,26 @@
 from cranberryrill.registry import registry_pb2
 from cranberryrill.state import commands_pb2
 
+LOGGER = logging.getLogger(__name__)
 # A few days of departures at 230 restarts a day; about 100 bytes each.
 MAX_DEPARTURES = 2048
 
-OnRecorded = collection_types.Callable[[registry_pb2.RecordDeparture], None]
+# Applies a departure to the registrations; returns whether it was news.
+Register = collection_types.Callable[[registry_pb2.RecordDeparture], bool]
 
 
 class DeparturesState:
-    """Slice of the replicated state with the newest departure of each id."""
+    """Slice of the replicated state with the newest departure of each id.
+
+    `register` is called with each departure that is applied or restored, since
+    the registrations of a member start empty.
+    """
 
     name = 'departures'
     kinds = ('record_departure',)
 
-    def __init__(self, on_recorded: OnRecorded) -> None:
-        # Called with each departure that is applied.
-        self.on_recorded = on_recorded
+    def __init__(self, register: Register) -> None:
+        self.register = register
         self.by_id: collections.OrderedDict[
             str, registry_pb2.RecordDeparture
         ] = collections.OrderedDict()
@@ -50,7 +56,14 @@
             self.by_id.move_to_end(departure.registration.id)
             while len(self.by_id) > MAX_DEPARTURES:
                 self.by_id.popitem(last=False)
-            self.on_recorded(departure)
+            LOGGER.info(
+                'departure recorded',
+                extra={
+                    'upstream': departure.registration.id,
+                    'removed': departure.removed,
+                    'taken': self.register(departure),
+                },
+            )
         return registry_pb2.DepartureOutcome()
 
     def dump(self) -> bytes:
@@ -65,6 +78,8 @@
             (departure.registration.id, departure)
             for departure in dump.departures
         )
+        for departure in dump.departures:
+            self.register(departure)
 
 
 def _order(departure: registry_pb2.RecordDeparture) -> tuple[int, bool]:
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -75,13 +75,14 @@
         """Drop upstreams that missed their heartbeats and return their names.
 
         Such an upstream registers again with its next heartbeat. The records
-        of ended upstreams are dropped after their retention time.
+        of upstreams that leave or have ended are kept for longer, so that an
+        older heartbeat does not register them again.
         """
         silent = [
             name
             for name, record in self.records.items()
             if not record.removed
-            and now >= record.updated_at + self.lifetime_seconds
+            and now >= record.updated_at + self._retention_seconds(record)
         ]
         if silent:
             self.version += 1
@@ -130,10 +131,11 @@
     def merge(self, sighting: registry_pb2.Sighting, now: float) -> bool:
         """Store a sighting of another member; return whether it was stored.
 
-        A heartbeat older than the lifetime is ignored; a removal is not.
+        One that is older than its retention time is ignored.
         """
         updated_at = now - sighting.age_ms / MILLISECONDS_PER_SECOND
-        if not sighting.removed and now >= updated_at + self.lifetime_seconds:
+        record = Record(sighting.registration, updated_at, sighting.removed)
+        if now >= updated_at + self._retention_seconds(record):
             return False
         return self.record(
             sighting.registration,
@@ -144,7 +146,7 @@
     def _retention_seconds(self, record: Record) -> float:
         return (
             timing.REMOVED_RETENTION_SECONDS
-            if record.removed
+            if record.removed or record.registration.leaving
             else self.lifetime_seconds
         )
 
--- a/cranberryrill/registry/timing.py
+++ b/cranberryrill/registry/timing.py
@@ -4,8 +4,8 @@
 # single heartbeat may arrive seconds late.
 MISSED_HEARTBEATS = 5
 DEFAULT_HEARTBEAT_SECONDS = 1.2
-# The record of an ended upstream is kept this long, so that a late heartbeat
-# does not register it again.
+# The record of an upstream that leaves or has ended is kept this long, so that
+# a late heartbeat does not register it again.
 REMOVED_RETENTION_SECONDS = 120.0
 # Every living upstream sends a heartbeat to some member within this many
 # periods of a member's start. Watchers of that member keep an upstream that
--- a/tests/membership/test_watch_service.py
+++ b/tests/membership/test_watch_service.py
@@ -9,6 +9,7 @@
 from cranberryrill import clock
 from cranberryrill.membership import directory, membership_pb2, watch_service
 from cranberryrill.quarantine import quarantine_pb2
+from cranberryrill.registry import table
 from cranberryrill.replication import member
 
 
@@ -68,6 +69,29 @@
     await watch.push_directory(clock.monotonic_seconds())
 
 
+@pytest.mark.parametrize(
+    ('revision', 'proof_age', 'is_pushed'),
+    [(7, 1.0, False), (7, -0.1, True), (0, 1.0, True)],
+)
+async def test_registry_waits_for_a_proof_of_later_departures(
+    revision: int, proof_age: float, *, is_pushed: bool
+) -> None:
+    # Failed when a member that had not caught up since its restart told entries
+    # of a replica that they knew to have left.
+    service: typing.Any = FakeService()
+    service.registry = table.RegistrationTable()
+    service.members = service
+    service.hosts = list
+    stream = FakeStream(membership_pb2.Role.ENTRY)
+    stream.renewal.revision = revision
+    watch = watch_service.Watch(service, typing.cast(typing.Any, stream))
+    await watch.read()
+    proof = member.Freshness(index=5, as_of=watch.opened_at - proof_age)
+    await watch.push_registry(proof, clock.monotonic_seconds())
+    pushed = [push for push in stream.pushed if push.HasField('registry')]
+    assert bool(pushed) == is_pushed
+
+
 async def test_renewal_waits_for_first_proof() -> None:
     service: typing.Any = FakeService()
     service.newest_fencing = int
--- a/tests/registry/test_departure_recorder.py
+++ b/tests/registry/test_departure_recorder.py
@@ -41,7 +41,7 @@
     proposer = FakeProposer(has_leader=has_leader)
     recorder = departure_recorder.DepartureRecorder(
         table.RegistrationTable(),
-        departures.DeparturesState(lambda _: None),
+        departures.DeparturesState(lambda _: True),
         typing.cast(typing.Any, proposer),
     )
     return recorder, proposer
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -20,7 +20,11 @@
 
     def __init__(self) -> None:
         self.taken: list[registry_pb2.RecordDeparture] = []
-        self.state = departures.DeparturesState(self.taken.append)
+        self.state = departures.DeparturesState(self.register)
+
+    def register(self, departed: registry_pb2.RecordDeparture) -> bool:
+        self.taken.append(departed)
+        return True
 
     def apply(self, recorded: registry_pb2.RecordDeparture) -> None:
         command = commands_pb2.Command(record_departure=recorded)
@@ -63,11 +67,11 @@
 
 
 def test_snapshot_restores_the_departures() -> None:
+    # Failed when a restarted member took a late heartbeat for a new upstream.
     recorded = Recorded()
     recorded.apply(departure('u1'))
     recorded.apply(departure('u2', removed=False))
-    restored = departures.DeparturesState(recorded.taken.append)
-    restored.load(recorded.state.dump())
-    assert restored.dump() == recorded.state.dump()
-    assert restored.covers(departure('u1'))
-    assert not restored.covers(departure('u2'))
+    restored = Recorded()
+    restored.state.load(recorded.state.dump())
+    assert restored.state.dump() == recorded.state.dump()
+    assert [one.registration.id for one in restored.taken] == ['u1', 'u2']
--- a/tests/registry/test_table.py
+++ b/tests/registry/test_table.py
@@ -42,6 +42,17 @@
     assert not registry.registrations()
 
 
+def test_older_heartbeat_of_a_silent_leaving_upstream_is_ignored() -> None:
+    # Failed when the record of a leaving upstream expired like that of another.
+    registry = table.RegistrationTable(heartbeat_seconds=1)
+    registry.record(registration(sequence=5, leaving=True), NOW)
+    later = NOW + timing.MISSED_HEARTBEATS + 1
+    registry.expire(later)
+    assert not registry.record(registration(sequence=4), later)
+    assert registry.registrations()['u1'].leaving
+    assert registry.expire(NOW + timing.REMOVED_RETENTION_SECONDS) == ['u1']
+
+
 def test_new_incarnation_replaces_the_previous_one() -> None:
     registry = table.RegistrationTable()
     registry.record(registration(sequence=500), NOW)
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -59,3 +59,30 @@
         system.fleet.start(system.fleet.members[0])
         await asyncio.sleep(SETTLE_SECONDS)
         assert await count_requests(system, leaving) == 0
+
+
+async def test_late_heartbeat_after_a_restart_of_all_members_is_ignored(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Failed when departures were only in the memory of the members: a heartbeat
+    # from before the departure registered the replica again.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        leaving = system.replicas[2]
+        await leave(system, leaving, 1)
+        await asyncio.sleep(0.8)
+        for vm in system.fleet.members:
+            system.fleet.processes_by_name[vm.name].kill()
+        await asyncio.sleep(0.5)
+        for vm in system.fleet.members:
+            system.fleet.start(vm)
+        await asyncio.sleep(SETTLE_SECONDS)
+        leaving.control_addresses = system.fleet.control_addresses
+        # The same sequence number as that of the last heartbeat.
+        leaving.heartbeat_sequence -= 1
+        assert await leaving.send_heartbeat()
+        leaving.control_addresses = []
+        assert await count_requests(system, leaving) == 0
