Refuse a key that nobody holds on routes that need none

Cause: admission had one value for 'no key' and for 'a key that nobody holds'. Evidence: 'request ended' with an empty organisation for 20 requests that have a key. Ruled out: an old configuration (version 9 at all), a key kept for a connection.

A key is now read from all Authorization headers, and one that nobody holds is refused on every route, also where no organisation is configured any more. A key after a tab, behind credentials of another scheme, empty, or one of two that differ no longer counts as none.

Ten cases of the unit test and the system test failed before.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -50,7 +50,7 @@
         return request_key.head_key(
             self.request.method,
             self.request.target,
-            self.organisation or self.metadata.key,
+            self.organisation or self.metadata.key or '',
         )
 
     @functools.cached_property
@@ -79,9 +79,8 @@
     organisation = (
         table.organisation_for(metadata.key) if metadata.key else None
     )
-    if organisation is None and table.document.organisations:
-        if not route.anonymous:
-            return result.Err(_key_refusal(metadata))
+    if organisation is None and _needs_known_key(metadata, route, table):
+        return result.Err(_key_refusal(metadata))
     service = table.services[route_table.choose_service(route.shares, sampled)]
     return result.Ok(
         Admitted(
@@ -160,8 +159,23 @@
     return wait if wait + RESPONSE_MARGIN_SECONDS < seconds_left else 0
 
 
+def _needs_known_key(
+    metadata: caller_request.Metadata,
+    route: document.Route,
+    table: route_table.RouteTable,
+) -> bool:
+    """Return whether a request without a known key is refused.
+
+    A key that nobody holds is refused on every route: it may be a withdrawn
+    one, whose holder would go on unidentified.
+    """
+    if metadata.key is not None:
+        return True
+    return bool(table.document.organisations) and not route.anonymous
+
+
 def _key_refusal(metadata: caller_request.Metadata) -> failures.Failure:
-    if metadata.key:
+    if metadata.key is not None:
         return failures.InvalidKey('the key is unknown or withdrawn')
     return failures.MissingKey('a key is needed')
 
--- a/cranberryrill/forwarding/caller_request.py
+++ b/cranberryrill/forwarding/caller_request.py
@@ -24,7 +24,8 @@
     """Metadata from a request's headers; zero or empty where it is missing."""
 
     attempt_id: str
-    key: str
+    # None if the request has no key; empty if it has an empty one or several.
+    key: str | None
     # How long the caller waits, in milliseconds; None if not stated.
     deadline_ms: float | None
     prompt_tokens: int = 0
@@ -81,7 +82,7 @@
     prompt, output = _parse_token_counts(request.header(names.tokens) or '')
     return Metadata(
         attempt_id=request.header(names.attempt) or '',
-        key=_parse_key(request.header('authorization') or '', names.key_scheme),
+        key=_read_key(request, names.key_scheme),
         deadline_ms=_parse_milliseconds(request.header(names.deadline)),
         prompt_tokens=prompt,
         output_tokens=output,
@@ -89,9 +90,25 @@
     )
 
 
-def _parse_key(text: str, scheme: str) -> str:
-    given_scheme, _, key = text.strip().partition(' ')
-    return key.strip() if given_scheme.lower() == scheme.lower() else ''
+def _read_key(request: Request, scheme: str) -> str | None:
+    keys = {
+        _parse_key(content, scheme)
+        for name, content in request.headers
+        if name.lower() == 'authorization'
+    }
+    keys.discard(None)
+    if len(keys) > 1:
+        # Which of them the caller means is not for the router to guess.
+        return ''
+    return keys.pop() if keys else None
+
+
+def _parse_key(text: str, scheme: str) -> str | None:
+    """Return the key in a header value, or None for another scheme."""
+    given_scheme, *key = text.split(maxsplit=1)[:2] or ['']
+    if given_scheme.lower() != scheme.lower():
+        return None
+    return key[0].strip() if key else ''
 
 
 def _parse_milliseconds(text: str | None) -> float | None:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -70,6 +70,45 @@
     assert named.organisation == 'o'
 
 
+@pytest.mark.parametrize(
+    'values',
+    [
+        ('Bearer withdrawn',),
+        ('bearer\twithdrawn',),
+        ('Bearer',),
+        ('Basic eDp5', 'Bearer withdrawn'),
+        ('Bearer key', 'Bearer withdrawn'),
+    ],
+)
+@pytest.mark.parametrize('organisations', [DOCUMENT.organisations, ()])
+def test_key_that_nobody_holds_is_refused_on_an_anonymous_route(
+    values: tuple[str, ...], organisations: tuple[document.Organisation, ...]
+) -> None:
+    # Failed when admission took a withdrawn key for no key where none is
+    # needed: its holder went on, unidentified.
+    configuration = dataclasses.replace(
+        DOCUMENT,
+        routes=(dataclasses.replace(ROUTE, anonymous=True),),
+        organisations=organisations,
+    )
+    headers = tuple(('Authorization', content) for content in values)
+    refused = admit(request_for('/x/1', *headers), configuration)
+    assert isinstance(refused, failures.InvalidKey)
+    assert refused.ran is failures.Ran.no
+
+
+def test_credentials_of_another_scheme_are_no_key() -> None:
+    configuration = dataclasses.replace(
+        DOCUMENT, routes=(dataclasses.replace(ROUTE, anonymous=True),)
+    )
+    basic = request_for('/x/1', ('Authorization', 'Basic eDp5'))
+    assert isinstance(admit(basic, configuration), admission.Admitted)
+    twice = request_for('/x/1', *(('Authorization', 'Bearer key'),) * 2)
+    admitted = admit(twice, configuration)
+    assert isinstance(admitted, admission.Admitted)
+    assert admitted.organisation == 'o'
+
+
 def test_deadline_is_the_earlier_of_route_and_caller_timeout() -> None:
     anonymous_route = dataclasses.replace(ROUTE, anonymous=True)
     configuration = dataclasses.replace(DOCUMENT, routes=(anonymous_route,))
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -203,6 +203,21 @@
     assert read == fleet_traffic.configuration(5, keys=('key-2',))
 
 
+async def test_withdrawn_key_is_refused_on_an_anonymous_route(
+    system: System,
+) -> None:
+    # Failed when a withdrawn key counted as none where none is needed.
+    for version, keys in ((8, ('key-1', 'key-2')), (9, ('key-2',))):
+        changed = fleet_traffic.configuration(version, keys=keys)
+        for route in changed['routes']:
+            route['allowAnonymous'] = True
+        assert await system.put(changed) == 200
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        expected = 200 if 'key-1' in keys else 401
+        for path in ('/order/1', '/check/1', '/stream/1'):
+            assert (await system.post(path)).code == expected
+
+
 async def test_draining_replica_receives_no_new_requests(
     system: System,
 ) -> None:
