Bound the bytes that all responses of a process hold together

Another operator's report: a faulty replica sends bytes without end, and the machine that called it runs out of memory. Here each response was bounded, the sum was not: 24 streams with an event without end held 26 MB, of 1 MiB each. The agent has the same fault. Bodies of answers to orders and reports, of engines and of the platform, were kept whole until a timeout (107 MB in half a second on loopback).

A budget of 24 MiB, a setting, now ends the response that holds the most when all together hold more; what isn't needed of an answer is dropped as it comes. Heads, trailers, chunk framing and interim heads were bounded before.

The four tests failed before: 26 MB and 107 MB, where 9 MB and 4 MB may be.

--- a/cranberryrill/authority/engine_orders.py
+++ b/cranberryrill/authority/engine_orders.py
@@ -90,6 +90,7 @@
             request_timeout=timing.ENGINE_ORDER_TIMEOUT_SECONDS,
             follow_redirects=False,
             prepare_curl_callback=guard.prepare,
+            streaming_callback=platform_client.discard,
         )
         try:
             answer = await self.client.fetch(request, raise_error=False)
--- a/cranberryrill/authority/platform_client.py
+++ b/cranberryrill/authority/platform_client.py
@@ -103,6 +103,7 @@
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=guard.prepare,
+            streaming_callback=discard,
         )
         try:
             answer = await self.client.fetch(request, raise_error=False)
@@ -154,6 +155,10 @@
         return int(pycurl.PREREQFUNC_OK)
 
 
+def discard(content: bytes) -> None:
+    """Drop a part of a body that is not needed, so that none is collected."""
+
+
 def disable_resending(curl: typing.Any) -> None:
     """Keep curl from sending a request twice by itself.
 
--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -18,6 +18,7 @@
     retry_budget,
     upstreams,
 )
+from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
 
 MILLISECONDS_PER_SECOND = 1000
@@ -63,6 +64,7 @@
     crash_tracker: crash_tracker.CrashTracker
     data_centre: str
     response_limits: response_limits.ResponseLimits
+    response_buffers: buffer_budget.BufferBudget
 
     async def wait_in_queue(
         self, admitted: admission.Admitted
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -118,6 +118,7 @@
             self._outgoing_request(choice, now),
             self.context.driver,
             self.context.response_limits,
+            self.context.response_buffers,
         )
         is_decode_heavy = decode_pool.is_decode_heavy(self.admitted.metadata)
         upstream.allowance.record_sent(now)
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -27,6 +27,7 @@
     upstreams,
     usage_counter,
 )
+from cranberryrill.limits import buffer_budget
 from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.settings import response_limits
 from cranberryrill.traffic import document, route_table
@@ -66,6 +67,9 @@
         self.data_centre = options.data_centre
         self.retry_limits = options.retry_limits
         self.response_limits = options.response_limits
+        self.response_buffers = buffer_budget.BufferBudget(
+            options.response_limits.total_bytes
+        )
         self.holder = holder
         self.usage = usage
         self.rng = rng
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -12,6 +12,7 @@
 import pycurl
 
 from cranberryrill.forwarding import curl_multi
+from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
 
 STATUS_LINE_PREFIX = 'HTTP/'
@@ -98,14 +99,18 @@
         request: OutgoingRequest,
         driver: curl_multi.Driver,
         limits: response_limits.ResponseLimits,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
         self.request = request
         self.driver = driver
         self.limits = limits
+        self.budget = budget
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.has_head = False
         self.content = bytearray()
+        # Bytes that were read from `content`, but not passed on yet.
+        self.retained_bytes = 0
         self.head_bytes = 0
         self.body_bytes = 0
         # The limit that the response has exceeded; empty if none.
@@ -122,9 +127,19 @@
 
     def stop(self) -> None:
         """Abort the exchange, if it still runs, and close its connection."""
-        if self.ending is None:
-            self.ending = Interrupted('stopped locally')
-            self.driver.stop(self.curl)
+        self.budget.release(self)
+        self._interrupt('stopped locally')
+
+    def exceed(self, limit_bytes: int) -> None:
+        """End the exchange, since all together hold more than the limit."""
+        self.excess = f'responses hold over {limit_bytes} bytes in all'
+        # Not within a callback of curl, which may be one of another exchange.
+        asyncio.get_running_loop().call_soon(self._interrupt, self.excess)
+
+    def retain(self, size: int) -> None:
+        """Record how many bytes that were read are not passed on yet."""
+        self.retained_bytes = size
+        self._record_held()
 
     def header(self, name: str) -> str | None:
         """Return the first value of a response header, or None.
@@ -140,6 +155,7 @@
         """Return the part of the body received since the last call."""
         received = bytes(self.content)
         self.content.clear()
+        self._record_held()
         if self.paused and self.ending is None:
             self.paused = False
             self.curl.pause(pycurl.PAUSE_CONT)
@@ -240,8 +256,19 @@
             return ABORT
         self.content += content
         self.body_bytes += len(content)
+        self._record_held()
         self.changed.set()
-        return None
+        return ABORT if self.excess else None
+
+    def _record_held(self) -> None:
+        if not self.excess:
+            self.budget.hold(self, len(self.content) + self.retained_bytes)
+
+    def _interrupt(self, cause: str) -> None:
+        if self.ending is None:
+            self.ending = Interrupted(cause)
+            self.driver.stop(self.curl)
+            self.changed.set()
 
     def _on_end(
         self, error_code: int, error_text: str, sent_bytes: int
--- a/cranberryrill/forwarding/relaying.py
+++ b/cranberryrill/forwarding/relaying.py
@@ -45,6 +45,7 @@
         body = bytearray()
         while call.ending is None:
             body += call.read_content()
+            call.retain(len(body))
             if len(body) > MAX_BUFFERED_BYTES:
                 return await self._relay_bytes(bytes(body))
             if not await self.wait():
@@ -82,7 +83,9 @@
                 )
             if complete:
                 after_id = ''
+                call.retain(len(complete) + len(self.events.partial))
                 await self._write(complete)
+            call.retain(len(self.events.partial))
             if len(self.events.partial) > limit_bytes:
                 self.events.drop_partial()
                 return attempts.Failed(
@@ -107,12 +110,15 @@
         """Relay a response that is too large to buffer."""
         call = self.call
         await self._write(body)
+        call.retain(0)
         while call.ending is None or call.content:
             if not await self.wait():
                 return attempts.timed_out()
             content = call.read_content()
             if content:
+                call.retain(len(content))
                 await self._write(content)
+                call.retain(0)
         if not isinstance(call.ending, exchange.Complete):
             return attempts.interrupted(call)
         self.reply.finish()
--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -68,17 +68,9 @@
         """
         if self.recorded.covers(departure):
             return result.Ok(None)
-        command = commands_pb2.Command(record_departure=departure)
-        deadline = now + ANSWER_TIMEOUT_SECONDS
-        outcome: proposals.Outcome | None = None
-        try:
-            async with asyncio.timeout(deadline - clock.monotonic_seconds()):
-                outcome = await self.proposer.propose_until(
-                    command.SerializeToString(), deadline
-                )
-        except TimeoutError:
-            LOGGER.debug('no outcome of a departure in time')
-        is_committed = isinstance(outcome, result.Ok)
+        is_committed = await self._propose(
+            departure, now + ANSWER_TIMEOUT_SECONDS
+        )
         seconds = clock.monotonic_seconds() - now
         LOGGER.info(
             'departure announced',
@@ -93,3 +85,17 @@
         if is_committed:
             return result.Ok(None)
         return result.Err(NotRecorded('the departure is not committed'))
+
+    async def _propose(
+        self, departure: registry_pb2.RecordDeparture, deadline: float
+    ) -> bool:
+        """Return whether a departure is known to be committed in time."""
+        command = commands_pb2.Command(record_departure=departure)
+        try:
+            async with asyncio.timeout(deadline - clock.monotonic_seconds()):
+                outcome = await self.proposer.propose_until(
+                    command.SerializeToString(), deadline
+                )
+        except TimeoutError:
+            return False
+        return outcome.is_ok()
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -8,6 +8,8 @@
 import pycurl
 from tornado import httputil
 
+from cranberryrill import clock
+from cranberryrill.limits import buffer_budget
 from cranberryrill.relay import (
     answers,
     deadlines,
@@ -67,10 +69,12 @@
         answer: answers.Answer,
         preempted: asyncio.Event,
         limits: response_limits.ResponseLimits,
+        buffers: buffer_budget.BufferBudget,
         now: float,
     ) -> None:
         self.call = call
         self.limits = limits
+        self.buffers = buffers
         self.answer = answer
         self.preempted = preempted
         # Only the first exchange sets the status and headers of the answer.
@@ -155,6 +159,13 @@
             self.abort('', now)
         self._stop_if_preempted()
 
+    def exceed(self, limit_bytes: int) -> None:
+        """End the exchange, since all together hold more than the limit."""
+        self.abort(
+            f'responses hold over {limit_bytes} bytes in all',
+            clock.monotonic_seconds(),
+        )
+
     def resume(self) -> None:
         """Resume a paused transfer once a reader has caught up."""
         if self.paused and self.answer.end is None and not self._readers_lag():
@@ -263,6 +274,7 @@
             self.abort_reason = f'a body of over {self.limits.body_bytes} bytes'
         elif not self._resumption_failed():
             self._append(content)
+            self._record_held()
         return ABORT if self.abort_reason else size
 
     def _append(self, content: bytes) -> None:
@@ -289,6 +301,11 @@
         if len(self.partial_event) > limit:
             self.abort_reason = f'an event of over {limit} bytes'
 
+    def _record_held(self) -> None:
+        if self.answer.end is None:
+            held_bytes = len(self.answer.content) + len(self.partial_event)
+            self.buffers.hold(self, held_bytes)
+
     def _resumption_failed(self) -> bool:
         """Return whether the response can't go on with the answer."""
         head = self.answer.head
--- a/cranberryrill/relay/upstream.py
+++ b/cranberryrill/relay/upstream.py
@@ -5,6 +5,7 @@
 from tornado import curl_httpclient, httpclient
 
 from cranberryrill import clock
+from cranberryrill.limits import buffer_budget
 from cranberryrill.relay import answers, relay_pb2, timing, transfer
 from cranberryrill.settings import schema
 
@@ -20,6 +21,9 @@
             max_clients=MAX_CONNECTIONS,
             force_instance=True,
         )
+        self.buffers = buffer_budget.BufferBudget(
+            settings.responses.total_bytes
+        )
 
     async def run(
         self,
@@ -36,6 +40,7 @@
             answer,
             preempted,
             self.settings.responses,
+            self.buffers,
             clock.monotonic_seconds(),
         )
         request = self._request(call, exchange)
@@ -49,6 +54,8 @@
         except (httpclient.HTTPError, OSError) as error:
             exchange.fail(error, clock.monotonic_seconds())
             return
+        finally:
+            self.buffers.release(exchange)
         exchange.finish(clock.monotonic_seconds())
 
     def close(self) -> None:
--- a/cranberryrill/settings/response_limits.py
+++ b/cranberryrill/settings/response_limits.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResponseLimits:
-    """Largest sizes of a response and its parts, in bytes."""
+    """Largest sizes of a response, its parts and all of them, in bytes."""
 
     __pydantic_config__ = pydantic.ConfigDict(extra='forbid')
 
@@ -32,3 +32,11 @@
         int,
         pydantic.Field(description='largest event of a stream, bytes', gt=0),
     ] = 1_048_576
+    total_bytes: typing.Annotated[
+        int,
+        pydantic.Field(
+            description='most that all responses of the process hold until '
+            'they are passed on, bytes',
+            gt=0,
+        ),
+    ] = 25_165_824
--- a/tests/authority/test_engine_orders.py
+++ b/tests/authority/test_engine_orders.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cranberryrill.authority import authority_pb2, engine_orders, fencing_gate
+from tests.authority import endless_server
 
 HOST = '127.0.0.1'
 OK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
@@ -139,3 +140,12 @@
     # Port 9 belongs to the discard service, which does not run here.
     agent = AgentUnderTest(9)
     assert await agent.forward(5) == Verdict.OUTCOME_UNKNOWN
+
+
+async def test_answer_without_end_to_an_order_is_not_collected() -> None:
+    # Failed when the whole body was kept until the timeout.
+    server = endless_server.EndlessServer()
+    await server.listen()
+    agent = AgentUnderTest(server.port)
+    peak = await endless_server.peak_bytes(agent.forward(5))
+    assert peak < endless_server.MAX_GROWTH_BYTES
--- a/tests/authority/test_platform_client.py
+++ b/tests/authority/test_platform_client.py
@@ -8,6 +8,7 @@
 import result
 
 from cranberryrill.authority import holder, platform_client
+from tests.authority import endless_server
 
 HOST = '127.0.0.1'
 TENURE = holder.Tenure(fencing=7, started_at=0)
@@ -139,3 +140,14 @@
     await asyncio.wait_for(receiver.closed.wait(), 5)
     assert receiver.connections == 1
     assert not receiver.requests
+
+
+async def test_answer_without_end_is_not_collected(receiver: Receiver) -> None:
+    # Failed when the whole body was kept until the timeout.
+    server = endless_server.EndlessServer()
+    await server.listen()
+    receiver.port = server.port
+    peak = await endless_server.peak_bytes(
+        make_client(receiver).send(MESSAGE, TENURE)
+    )
+    assert peak < endless_server.MAX_GROWTH_BYTES
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -8,9 +8,10 @@
     crash_tracker,
     upstreams,
 )
+from cranberryrill.limits import buffer_budget
 from cranberryrill.quarantine import ledger
 from cranberryrill.registry import registry_pb2
-from cranberryrill.settings import quarantine_limits
+from cranberryrill.settings import quarantine_limits, response_limits
 from cranberryrill.traffic import document
 
 
@@ -33,6 +34,12 @@
     return upstreams.Upstream(registration, cache_tokens)
 
 
+def make_buffers() -> buffer_budget.BufferBudget:
+    return buffer_budget.BufferBudget(
+        response_limits.ResponseLimits().total_bytes
+    )
+
+
 def make_route(
     *,
     name: str = 'r',
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -5,6 +5,7 @@
 
 from cranberryrill.forwarding import attempts, curl_multi, exchange
 from cranberryrill.settings import response_limits
+from tests.forwarding import conftest
 
 REQUEST = exchange.OutgoingRequest('127.0.0.1', 80, 'GET', '/', (), b'')
 
@@ -24,7 +25,10 @@
     error_code: int, connection_lost: bool
 ) -> None:
     call = exchange.Exchange(
-        REQUEST, curl_multi.Driver(), response_limits.ResponseLimits()
+        REQUEST,
+        curl_multi.Driver(),
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
     )
     call._on_end(error_code, 'cause', sent_bytes=10)
     assert attempts.interrupted(call).connection_lost is connection_lost
@@ -32,7 +36,10 @@
 
 async def test_exceeded_limit_is_no_lost_connection() -> None:
     call = exchange.Exchange(
-        REQUEST, curl_multi.Driver(), response_limits.ResponseLimits()
+        REQUEST,
+        curl_multi.Driver(),
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
     )
     call.excess = 'a body of over 10 bytes'
     call._on_end(pycurl.E_RECV_ERROR, '', sent_bytes=10)
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -26,6 +26,7 @@
     reply,
     retry_budget,
 )
+from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
 from cranberryrill.traffic import document
 from tests.forwarding import conftest
@@ -117,7 +118,10 @@
 class OneUpstreamContext:
     """Delivery context that places every request on one upstream."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(
+        self, port: int, buffers: buffer_budget.BufferBudget | None = None
+    ) -> None:
+        self.response_buffers = buffers or conftest.make_buffers()
         self.names = http_names.HttpNames()
         self.driver = curl_multi.Driver()
         self.crash_tracker = conftest.make_crash_tracker()
@@ -338,3 +342,52 @@
     assert broken[0].outcome == 'broken_off'
     assert answered[0].outcome == 'answered'
     assert answered[1].received_bytes == 2
+
+
+MANY_STREAMS = 24
+TOTAL_LIMIT_BYTES = 3_000_000
+MANY_LIMITS = dataclasses.replace(LIMITS, event_bytes=1_000_000)
+
+
+class SoundUpstream(Upstream):
+    """Upstream that answers with a whole stream of events."""
+
+    def __init__(self) -> None:
+        super().__init__(b'%s%s0\r\n\r\n' % (CHUNKED, EVENT_CHUNK), b'')
+
+
+async def test_events_without_end_on_many_streams_are_bounded_together(
+    memory_before: int,
+) -> None:
+    # Failed when each response had a limit and all together had none: a faulty
+    # upstream with many requests took the process over its memory.
+    buffers = buffer_budget.BufferBudget(TOTAL_LIMIT_BYTES)
+    faulty, sound = Upstream(CHUNKED, CHUNK, pause=0.005), SoundUpstream()
+    await faulty.listen()
+    await sound.listen()
+
+    async def run(port: int, delay: float = 0) -> delivery.Delivery:
+        await asyncio.sleep(delay)
+        context = OneUpstreamContext(port, buffers)
+        context.response_limits = MANY_LIMITS
+        request_delivery = delivery.Delivery(
+            make_admitted(streams=True),
+            typing.cast(reply.Reply, RecordingReply(0)),
+            typing.cast(attempts.DeliveryContext, context),
+        )
+        await request_delivery.run()
+        context.driver.close()
+        return request_delivery
+
+    endless = [run(faulty.port) for _ in range(MANY_STREAMS)]
+    *ended, answered = await asyncio.gather(*endless, run(sound.port, 0.3))
+    assert answered.outcome == 'answered'
+    assert {one.outcome for one in ended} <= {
+        failures.UpstreamFailed.code,
+        failures.TimedOut.code,
+    }
+    assert buffers.exceeded_count
+    peak = tracemalloc.get_traced_memory()[1] - memory_before
+    # curl and asyncio hold some, and a buffer is copied when it is read.
+    assert peak < 3 * TOTAL_LIMIT_BYTES
+    assert not buffers.total_bytes
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -15,6 +15,7 @@
     response_kind,
 )
 from cranberryrill.settings import response_limits
+from tests.forwarding import conftest
 
 NAMES = http_names.HttpNames()
 SUCCESS = (
@@ -79,7 +80,12 @@
         body,
     )
     driver = curl_multi.Driver()
-    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
+    call = exchange.Exchange(
+        request,
+        driver,
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
+    )
     call.start()
     async with asyncio.timeout(5):
         while call.ending is None:
@@ -126,7 +132,12 @@
     await server.wait_closed()
     driver = curl_multi.Driver()
     request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
-    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
+    call = exchange.Exchange(
+        request,
+        driver,
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
+    )
     call.start()
     async with asyncio.timeout(5):
         while call.ending is None:
@@ -189,7 +200,12 @@
     port = await upstream.start()
     driver = curl_multi.Driver()
     request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
-    call = exchange.Exchange(request, driver, response_limits.ResponseLimits())
+    call = exchange.Exchange(
+        request,
+        driver,
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
+    )
     call.start()
     await asyncio.sleep(0.1)
     call.stop()
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -13,6 +13,7 @@
     relaying,
 )
 from cranberryrill.settings import response_limits
+from tests.forwarding import conftest
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 EVENT = b'id: 1\ndata: piece\n\n'
@@ -68,6 +69,7 @@
         exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b''),
         curl_multi.Driver(),
         response_limits.ResponseLimits(),
+        conftest.make_buffers(),
     )
     call.start()
     collected = CollectingReply()
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from cranberryrill.limits import buffer_budget
 from cranberryrill.relay import answers, relay_pb2, transfer
 from cranberryrill.settings import response_limits
 
 LIMITS = response_limits.ResponseLimits()
+BUFFERS = buffer_budget.BufferBudget(LIMITS.total_bytes)
 BODY = b'{"choices": []}'
 EVENT = b'data: {"choices": [1]}\n\n'
 
@@ -23,7 +25,7 @@
     call = relay_pb2.Call(is_model=True, idempotent=True, streamed=streamed)
     answer = answers.Answer('req-1', call, 0)
     preempted = asyncio.Event()
-    exchange = transfer.Transfer(call, answer, preempted, LIMITS, 0)
+    exchange = transfer.Transfer(call, answer, preempted, LIMITS, BUFFERS, 0)
     exchange.on_header(b'HTTP/1.1 200 OK\r\n')
     exchange.on_header(f'Content-Type: {content_type}\r\n'.encode())
     exchange.on_header(b'Content-Length: 15\r\n')
@@ -59,7 +61,7 @@
         timeout_ms=timeout_ms,
     )
     answer = answers.Answer('req-1', call, 0)
-    return transfer.Transfer(call, answer, asyncio.Event(), LIMITS, 0)
+    return transfer.Transfer(call, answer, asyncio.Event(), LIMITS, BUFFERS, 0)
 
 
 def test_silent_service_is_aborted_at_the_deadline() -> None:
@@ -105,7 +107,7 @@
     begun, preempted = start_exchange('text/event-stream', streamed=True)
     begun.on_content(EVENT)
     resumed = transfer.Transfer(
-        begun.call, begun.answer, asyncio.Event(), LIMITS, 1
+        begun.call, begun.answer, asyncio.Event(), LIMITS, BUFFERS, 1
     )
     status_line, content_type = head
     resumed.on_header(status_line)
@@ -118,3 +120,29 @@
     resumed.finish(1)
     assert bytes(begun.answer.content) == EVENT
     assert isinstance(begun.answer.end, relay_pb2.Failed)
+
+
+def test_answers_without_end_are_bounded_together() -> None:
+    # Failed when each answer had a limit and all together had none.
+    buffers = buffer_budget.BufferBudget(100_000)
+    transfers = []
+    for number in range(20):
+        call = relay_pb2.Call(is_model=True, idempotent=True, streamed=True)
+        answer = answers.Answer(f'req-{number}', call, 0)
+        endless = transfer.Transfer(
+            call, answer, asyncio.Event(), LIMITS, buffers, 0
+        )
+        endless.on_header(b'HTTP/1.1 200 OK\r\n')
+        endless.on_header(b'Content-Type: text/event-stream\r\n\r\n')
+        endless.on_header(b'\r\n')
+        transfers.append(endless)
+    for _ in range(10):
+        for going_on in transfers:
+            going_on.on_content(b'x' * 1000)
+    held = sum(
+        len(one.partial_event) for one in transfers if one.answer.end is None
+    )
+    assert 0 < held <= 100_000
+    ended = [one for one in transfers if one.answer.end is not None]
+    assert ended
+    assert all('in all' in one.abort_reason for one in ended)
