Derive the times of a planned stop from its grace, and answer open calls

With the 8 s of today an entry refuses what it can't end in time; but the times were fixed, so with a grace under 6 s answers were cut before its last sixth, and requests were taken until then. A control member closed all connections at once and cut calls that waited for a commit.

Both times are now shares of the grace, and a stopping member answers the calls that are open. The replay of arrivals failed with 2, 3 and 5 s of grace; the system test of the member failed before; the one of the entry shows what held.

--- a/cranberryrill/forwarding/admission.py
+++ b/cranberryrill/forwarding/admission.py
@@ -22,6 +22,13 @@
 TYPICAL_FIRST_PROOF_SECONDS = 0.5
 # Each request that waits for the first proof keeps its body in memory.
 MAX_REQUESTS_AWAITING_PROOF = 256
+# The load balancer probes readiness every second and removes a process after
+# two failures; a request that it has sent may arrive a little later.
+OUT_OF_ROTATION_SECONDS = 2.6
+MAX_ROTATION_SHARE = 0.35
+# Open answers end this long before the supervisor kills the process.
+MAX_KILL_MARGIN_SECONDS = 0.5
+KILL_MARGIN_SHARE = 0.08
 # Short, since other processes can serve the request at once.
 STOPPING_RETRY_AFTER_SECONDS = 0.02
 
@@ -108,6 +115,23 @@
     drain_deadline: float
 
 
+def plan_shutdown(stopping_at: float, grace_seconds: float) -> Shutdown:
+    """Return the times of a process that the supervisor kills after a grace.
+
+    Open answers go on nearly until then. With a short grace, requests are
+    refused before the balancer has certainly removed the process.
+    """
+    kill_margin = min(
+        MAX_KILL_MARGIN_SECONDS, grace_seconds * KILL_MARGIN_SHARE
+    )
+    out_of_rotation = min(
+        OUT_OF_ROTATION_SECONDS, grace_seconds * MAX_ROTATION_SHARE
+    )
+    return Shutdown(
+        stopping_at + out_of_rotation, stopping_at + grace_seconds - kill_margin
+    )
+
+
 def can_finish(
     admitted: Admitted, shutdown: Shutdown | None, now: float
 ) -> bool:
--- a/cranberryrill/programs/fleet_control.py
+++ b/cranberryrill/programs/fleet_control.py
@@ -9,7 +9,7 @@
 import result
 from tornado import httpserver, web
 
-from cranberryrill import clock, tasks, transport
+from cranberryrill import clock, open_requests, tasks, transport
 from cranberryrill.authority import holder, platform_client
 from cranberryrill.forwarding import usage_counter
 from cranberryrill.programs import disk_recovery, replicated_state, shutdown
@@ -34,6 +34,8 @@
     tail_bytes=MAX_TAIL_BYTES,
 )
 STOP_TIMEOUT_SECONDS = 2.0
+# A call that waits for a commit is answered within a second.
+CALLS_TIMEOUT_SECONDS = 1.2
 USAGE_REPORTING_DUTY = 'usage_reporting'
 MILLISECONDS_PER_SECOND = 1000
 
@@ -61,6 +63,8 @@
         self.adapter = adapter
         self.group = tasks.TaskGroup()
         self.duties = tasks.TaskGroup()
+        # Calls of operators and upstreams.
+        self.open_calls = open_requests.OpenRequests()
         dialer = transport.Dialer(None)
         self.replicated = replicated_state.ReplicatedState(
             _member_options(settings, folder, lock),
@@ -109,8 +113,7 @@
                 api_server, fleet.parse_address(settings.control)
             )
         await shutdown.wait_for_stop(self.group)
-        api_server.stop()
-        await api_server.close_all_connections()
+        await self._stop_api(api_server)
         self.authority.stopping = True
         open_duties = list(self.duties.tasks)
         if open_duties:
@@ -178,6 +181,18 @@
             now,
         )
 
+    async def _stop_api(self, api_server: httpserver.HTTPServer) -> None:
+        """Answer the open calls, some of which wait for a commit."""
+        api_server.stop()
+        if not await tasks.wait_for_event(
+            self.open_calls.idle, CALLS_TIMEOUT_SECONDS
+        ):
+            LOGGER.warning(
+                'stopped before all calls were answered',
+                extra={'open_calls': len(self.open_calls.requests)},
+            )
+        await api_server.close_all_connections()
+
     def _start_duties(self) -> None:
         platform = self.settings.outside
         if platform is None or USAGE_REPORTING_DUTY not in platform.duties:
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -25,11 +25,6 @@
 from cranberryrill.traffic import document
 
 LOGGER = logging.getLogger(__name__)
-# The load balancer probes readiness every second and removes a process after
-# two failures; a request that it has sent may arrive a little later.
-OUT_OF_ROTATION_SECONDS = 2.6
-# Open answers end this long before the supervisor kills the process.
-KILL_MARGIN_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -191,13 +186,13 @@
     ) -> None:
         """Leave the load balancer's rotation, then answer the open requests."""
         self.unready = True
-        grace_seconds = self.settings.bounds.grace_seconds - KILL_MARGIN_SECONDS
-        shutdown_times = admission.Shutdown(
-            stopping_at + OUT_OF_ROTATION_SECONDS,
-            stopping_at + grace_seconds,
+        shutdown_times = admission.plan_shutdown(
+            stopping_at, self.settings.bounds.grace_seconds
         )
         self.forwarder.shutdown = shutdown_times
-        await asyncio.sleep(OUT_OF_ROTATION_SECONDS)
+        await asyncio.sleep(
+            shutdown_times.out_of_rotation_at - clock.monotonic_seconds()
+        )
         remaining_seconds = (
             shutdown_times.drain_deadline - clock.monotonic_seconds()
         )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -137,6 +137,30 @@
     assert admission.can_finish(admitted, later, 100)
 
 
+@pytest.mark.parametrize('grace_seconds', [2, 3, 5, 8, 15, 30])
+def test_late_requests_of_a_planned_stop_are_refused_or_end_in_time(
+    grace_seconds: float,
+) -> None:
+    # Failed for short graces: answers were cut long before the process had to
+    # end, and requests were taken up to then.
+    stop = admission.plan_shutdown(100, grace_seconds)
+    assert stop.drain_deadline < 100 + grace_seconds
+    # What runs on for longer may be cut only in the last sixth of the grace.
+    assert stop.drain_deadline > 100 + grace_seconds * 5 / 6
+    template = admit(request_for('/x/1', ('Authorization', 'Bearer key')))
+    assert isinstance(template, admission.Admitted)
+    for tenth, timeout in itertools.product(
+        range(int(grace_seconds * 10)), (0.1, 0.5, 1.5, 4, 15)
+    ):
+        arrived_at = 100 + tenth / 10
+        admitted = dataclasses.replace(template, deadline=arrived_at + timeout)
+        if not admission.can_finish(admitted, stop, arrived_at):
+            continue
+        # The balancer may send requests for so long.
+        is_early = arrived_at < 100 + min(3.0, 0.35 * grace_seconds)
+        assert is_early or admitted.deadline <= stop.drain_deadline
+
+
 def test_refused_requests_are_retried_after_proof_equally_spaced() -> None:
     # After a power loss, callers send requests until the first proof, 0.5 s
     # later. Their retries must not all arrive at once.
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import time
 
 from bench import processes
@@ -86,3 +87,21 @@
         assert await leaving.send_heartbeat()
         leaving.control_addresses = []
         assert await count_requests(system, leaving) == 0
+
+
+async def test_planned_stop_of_a_member_answers_open_calls(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Failed when a call that waited for a commit was cut without an answer.
+    async with test_fleet.run_system(
+        tmp_path, test_fleet.two_replicas_each
+    ) as system:
+        for number in (1, 2):
+            member_process(system, number).kill()
+        address = system.fleet.control_addresses[0]
+        url = f'http://{address}/api/replicas/{system.replicas[0].name}'
+        call = asyncio.create_task(outside.send_request(url, 'DELETE'))
+        await asyncio.sleep(0.2)
+        member_process(system, 0).send(signal.SIGTERM)
+        assert await call == 503
+        assert await asyncio.to_thread(member_process(system, 0).wait) == 0
