Take no heartbeat that names an unusable replica, and read numbers of any length

Here no process ended, but an address that is no IP number, or an id that no header can hold, was taken and passed on, and each request placed there was cut without an answer; large numbers were errors that nothing handled; a start far in the future shut out the replica at that address.

An exchange that can't be built ends as not sent. Numbers in headers may have any length.

--- a/cranberryrill/callers/request_body.py
+++ b/cranberryrill/callers/request_body.py
@@ -5,7 +5,7 @@
 
 from tornado import web
 
-from cranberryrill import failures
+from cranberryrill import decimal_numbers, failures
 from cranberryrill.callers import refusals
 
 # An oversized body is read and discarded up to this multiple of the size limit,
@@ -34,8 +34,10 @@
         connection = self.request.connection
         limit = self.limits.body_bytes * DISCARD_LIMIT_FACTOR
         connection.set_max_body_size(limit)  # type: ignore[union-attr]
-        length = self.request.headers.get('Content-Length', '')
-        if length.isdigit() and int(length) > self.limits.body_bytes:
+        length = decimal_numbers.parse(
+            self.request.headers.get('Content-Length', '')
+        )
+        if length is not None and length > self.limits.body_bytes:
             self._refuse_too_large()
             return
         self.body_timer = asyncio.get_running_loop().call_later(
--- a/cranberryrill/callers/validation.py
+++ b/cranberryrill/callers/validation.py
@@ -7,7 +7,7 @@
 import result
 from tornado import httputil
 
-from cranberryrill import failures
+from cranberryrill import decimal_numbers, failures
 from cranberryrill.callers import refusals
 from cranberryrill.keys import digests
 from cranberryrill.relay import deadlines
@@ -73,13 +73,14 @@
     header = headers.get(deadlines.TIMEOUT_HEADER)
     if header is None:
         return result.Ok(timeout_ms)
-    if not header.isascii() or not header.isdigit() or not int(header):
+    caller_ms = decimal_numbers.parse(header)
+    if not caller_ms:
         return result.Err(
             failures.MalformedRequest(
                 f'{deadlines.TIMEOUT_HEADER}: a whole number above 0 is needed',
             ),
         )
-    return result.Ok(min(timeout_ms, int(header)))
+    return result.Ok(min(timeout_ms, caller_ms))
 
 
 def find_exposed_key(
--- a/cranberryrill/forwarding/caller_request.py
+++ b/cranberryrill/forwarding/caller_request.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections import abc
 
+from cranberryrill import decimal_numbers
 from cranberryrill.forwarding import http_names
 
 Headers = abc.Sequence[tuple[str, str]]
@@ -129,10 +130,7 @@
 
 
 def _parse_count(text: str) -> int:
-    stripped = text.strip()
-    if not stripped.isascii() or not stripped.isdigit():
-        return 0
-    return min(int(stripped), MAX_TOKENS)
+    return min(decimal_numbers.parse(text) or 0, MAX_TOKENS)
 
 
 def _parse_parts(text: str) -> tuple[PromptPart, ...]:
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -11,6 +11,7 @@
 
 import pycurl
 
+from cranberryrill import decimal_numbers
 from cranberryrill.forwarding import curl_multi
 from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
@@ -32,7 +33,12 @@
 # curl's error codes for a failed connection. The upstream received nothing only
 # if curl had also sent no byte of the request.
 CONNECT_ERRORS = frozenset(
-    (pycurl.E_COULDNT_CONNECT, pycurl.E_OPERATION_TIMEDOUT)
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_OPERATION_TIMEDOUT,
+        pycurl.E_URL_MALFORMAT,
+    )
 )
 # curl's error codes for a connection that was lost after it was established.
 CONNECTION_LOST_ERRORS = frozenset(
@@ -122,7 +128,13 @@
 
     def start(self) -> None:
         """Send the request."""
-        self.curl = self._make_curl()
+        try:
+            self.curl = self._make_curl()
+        except (pycurl.error, ValueError) as error:
+            # A registration may name an address that curl doesn't take.
+            self.ending = Unsent(f'the request cannot be sent: {error}')
+            self.changed.set()
+            return
         self.driver.start(self.curl, self._on_end)
 
     def stop(self) -> None:
@@ -292,7 +304,7 @@
 def _parse_status(line: str) -> int:
     parts = line.split(' ', 2)
     code = parts[1] if len(parts) > 1 else ''
-    return int(code) if code.isascii() and code.isdigit() else 0
+    return decimal_numbers.parse(code) or 0
 
 
 def _cause_of(error_code: int) -> str:
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -6,6 +6,7 @@
 import math
 from collections import abc as collection_types
 
+from cranberryrill import decimal_numbers
 from cranberryrill.forwarding import allowance, caller_request
 from cranberryrill.registry import registry_pb2
 
@@ -180,13 +181,11 @@
 
         A malformed value is ignored.
         """
-        counts = text.split(',')
-        if len(counts) != 3 or not all(
-            count.strip().isascii() and count.strip().isdigit()
-            for count in counts
-        ):
+        counts = [decimal_numbers.parse(count) for count in text.split(',')]
+        known = [count for count in counts if count is not None]
+        if len(counts) != 3 or len(known) != 3:
             return
-        running, waiting, slots = (int(count) for count in counts)
+        running, waiting, slots = known
         self.load = ReportedLoad(
             running, waiting, slots, now, self.open_requests
         )
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -212,3 +212,33 @@
     async with asyncio.timeout(0.5):
         await disconnected.wait()
     driver.close()
+
+
+@pytest.mark.parametrize('host', ['\u00fc.example', 'odd host', 'a\x00b'])
+async def test_address_that_curl_does_not_take_is_unsent(host: str) -> None:
+    # Failed with an error in the delivery, which cut the caller's connection.
+    call = exchange.Exchange(
+        exchange.OutgoingRequest(host, 80, 'GET', '/', (), b''),
+        curl_multi.Driver(),
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
+    )
+    call.start()
+    async with asyncio.timeout(5):
+        while call.ending is None:
+            await call.wait(1)
+    assert isinstance(call.ending, exchange.Unsent)
+
+
+async def test_header_that_cannot_be_encoded_is_unsent() -> None:
+    call = exchange.Exchange(
+        exchange.OutgoingRequest(
+            '127.0.0.1', 80, 'GET', '/', (('X-Expected', '\u0416'),), b''
+        ),
+        curl_multi.Driver(),
+        response_limits.ResponseLimits(),
+        conftest.make_buffers(),
+    )
+    call.start()
+    assert isinstance(call.ending, exchange.Unsent)
+    call.stop()
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -135,3 +135,11 @@
         cache.record(part.id, part.tokens, is_ready=True)
     assert cache.missing_tokens(conftest.make_parts('new')) == 0
     assert cache.missing_tokens(conftest.make_parts('old')) > 0
+
+
+def test_load_of_thousands_of_digits_is_taken_as_a_large_one() -> None:
+    # Failed with an error that cut the request whose response named it.
+    upstream = conftest.make_upstream('u')
+    digits = '9' * 5000
+    upstream.record_load(f'{digits},0,8', 100)
+    assert upstream.load.running > 1_000_000
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -17,6 +17,8 @@
 
 from cranberryrill.traffic import document, validation
 
+NOW_MS = 1700000060000
+LONG_NUMBER = '9' * 5000
 HEARTBEAT: dict[str, typing.Any] = {
     'service': 's1',
     'address': '10.0.0.9:8080',
@@ -126,6 +128,8 @@
         {'routes': [{**ROUTE, 'allowAnonymous': 'yes'}]},
         {'tenants': [{'name': 't', 'apiKeys': [1]}]},
         {'services': [{'name': 's1'}]},
+        {'version': 2**64},
+        {'tenants': [{'name': 't', 'apiKeys': ['\ud800']}]},
     ],
 )
 def test_invalid_configuration_field_is_unreadable(
@@ -143,16 +147,20 @@
     with pytest.raises(json_fields.Unreadable):
         configuration.decode(content)
     with pytest.raises(json_fields.Unreadable):
-        registration.decode('i', content)
+        registration.decode('i', content, NOW_MS)
 
 
 def test_heartbeat_fields_are_decoded() -> None:
-    registered = registration.decode('i', json.dumps(HEARTBEAT).encode())
+    registered = registration.decode(
+        'i', json.dumps(HEARTBEAT).encode(), NOW_MS
+    )
     assert (registered.host, registered.port) == ('10.0.0.9', 8080)
     assert registered.started_unix_ms == HEARTBEAT['born']
     assert not registered.leaving
     draining = {**HEARTBEAT, 'state': 'draining', 'new': 1}
-    assert registration.decode('i', json.dumps(draining).encode()).leaving
+    assert registration.decode(
+        'i', json.dumps(draining).encode(), NOW_MS
+    ).leaving
 
 
 @pytest.mark.parametrize(
@@ -165,6 +173,23 @@
         {'sequence': None},
         {'service': ''},
         {'born': 1.5},
+        {'born': NOW_MS + 2 * 86_400_000},
+        {'born': 2**64},
+        {'sequence': 2**64},
+        {'slots': 2**32},
+        {'slots': 10**400},
+        {'coldRemainingMs': 1e300},
+        {'coldRemainingMs': float('inf')},
+        {'coldRemainingMs': float('nan')},
+        {'address': '10.0.0.9:65536'},
+        {'address': f'10.0.0.9:{LONG_NUMBER}'},
+        {'address': '10.0.0.9/x?:80'},
+        {'address': '\u00fc.example:80'},
+        {'address': 'upstream.example:80'},
+        {'service': 's' * 100_000},
+        {'service': '\ud800'},
+        {'zone': {'deep': []}},
+        {'version': [[[]]]},
     ],
 )
 def test_invalid_heartbeat_field_is_unreadable(
@@ -172,7 +197,35 @@
 ) -> None:
     content = json.dumps({**HEARTBEAT, **changes}).encode()
     with pytest.raises(json_fields.Unreadable):
-        registration.decode('i', content)
+        registration.decode('i', content, NOW_MS)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'{"slots":%s}' % (b'9' * 5000),
+        b'{"state":%s' % (b'{"a":' * 100_000),
+        json.dumps(HEARTBEAT).encode('utf-16'),
+        json.dumps({**HEARTBEAT, 'new': 'x' * 100_000}).encode(),
+    ],
+)
+def test_heartbeat_of_another_writer_is_unreadable(content: bytes) -> None:
+    # Failed with errors that nothing handles.
+    with pytest.raises(json_fields.Unreadable):
+        registration.decode('i', content, NOW_MS)
+
+
+@pytest.mark.parametrize('replica', ['a b', 'a\r\nX-Y: z', '\u00fc', 'x' * 201])
+def test_replica_id_that_no_header_can_hold_is_unreadable(replica: str) -> None:
+    content = json.dumps(HEARTBEAT).encode()
+    with pytest.raises(json_fields.Unreadable):
+        registration.decode(replica, content, NOW_MS)
+
+
+def test_heartbeat_without_a_version_is_decoded() -> None:
+    fields = {name: HEARTBEAT[name] for name in HEARTBEAT if name != 'version'}
+    content = json.dumps(fields).encode()
+    assert not registration.decode('i', content, NOW_MS).version
 
 
 def test_report_bytes_do_not_depend_on_the_order_of_counts() -> None:
