--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -105,7 +105,7 @@
         """
 
     def record_prefilled_prompt(
-        self, upstream: upstreams.Upstream, admitted: admission.Admitted
+        self, choice: placement.Choice, admitted: admission.Admitted
     ) -> None:
         """Record that an upstream has prefilled, and caches, a prompt."""
 
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -1,7 +1,6 @@
 """Deliver one admitted request to upstreams and relay the response."""
 
 import asyncio
-import http
 import logging
 
 from cranberryrill import clock, failures
@@ -11,12 +10,12 @@
     decode_pool,
     events,
     exchange,
-    named_limit,
     placement,
     refusals,
     relaying,
     reply,
     retry_policy,
+    response_head,
     response_kind,
 )
 
@@ -166,7 +165,7 @@
                 failures.Ran.unknown, 'not the rest of the stream'
             )
         self._count_start(now)
-        self.context.record_prefilled_prompt(upstream, self.admitted)
+        self.context.record_prefilled_prompt(choice, self.admitted)
         self.media_type = attempts.media_type(call)
         is_success = kind is response_kind.Kind.success
         if is_success:
@@ -191,29 +190,18 @@
         `seconds` is the time that the upstream took to start the response.
         """
         upstream = choice.upstream
-        names = self.context.names
         self.responding_since = now
         self.context.record_response_start(
             self.admitted, choice, upstream.prefill_tokens.get(call, 0), seconds
         )
         upstream.start_response(call)
-        upstream.record_load(call.header(names.load) or '', now)
-        kind = response_kind.classify(
-            call, self.admitted.metadata.attempt_id, names
+        return response_head.record(
+            call,
+            upstream,
+            self.admitted.metadata.attempt_id,
+            self.context.names,
+            now,
         )
-        is_own = kind is not response_kind.Kind.foreign
-        if is_own and call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-            upstream.mark_replaced(now)
-        elif is_own:
-            limit = named_limit.read_limit(
-                call.header(names.limit), upstream.id
-            )
-            upstream.record_limit(limit, now)
-        if kind is not response_kind.Kind.rejected:
-            upstream.record_outcome(
-                now, failed=kind is not response_kind.Kind.success
-            )
-        return kind
 
     async def _finish_failed(self, failed: attempts.Failed) -> None:
         if self.reply.started:
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -24,7 +24,7 @@
     retry_budget,
     retry_policy,
     service_statistics,
-    upstreams,
+    upstream_pool,
     usage_counter,
 )
 from cranberryrill.limits import buffer_budget
@@ -75,7 +75,7 @@
         self.rng = rng
         self.driver = curl_multi.Driver()
         self.table = route_table.RouteTable(document.EMPTY)
-        self.pool = upstreams.Pool()
+        self.pool = upstream_pool.Pool()
         self.peer_loads = peer_loads.PeerLoads(self.pool)
         self.crash_tracker = crash_tracker.CrashTracker(
             holder.evidence, holder.renew_now.set
@@ -328,10 +328,10 @@
         self.usage.count(admitted.organisation, now)
 
     def record_prefilled_prompt(
-        self, upstream: upstreams.Upstream, admitted: admission.Admitted
+        self, choice: placement.Choice, admitted: admission.Admitted
     ) -> None:
         """Record that an upstream has prefilled, and caches, a prompt."""
-        self.pool.record_prefilled(upstream, admitted.metadata.parts)
+        self.pool.record_prefilled(choice.upstream, admitted.metadata.parts)
 
     def backoff(self, admitted: admission.Admitted, now: float) -> float:
         """Return the delay in seconds before a refused caller should retry."""
--- a/cranberryrill/forwarding/limit_reports.py
+++ b/cranberryrill/forwarding/limit_reports.py
@@ -3,7 +3,12 @@
 import math
 from collections import abc
 
-from cranberryrill.forwarding import allowance, loads_pb2, upstreams
+from cranberryrill.forwarding import (
+    allowance,
+    loads_pb2,
+    upstream_pool,
+    upstreams,
+)
 
 MILLISECONDS_PER_SECOND = 1000
 # A response that names the same limit as before is news after this time.
@@ -31,7 +36,7 @@
 class Sender:
     """Select and encode the reports that one other entry lacks."""
 
-    def __init__(self, pool: upstreams.Pool) -> None:
+    def __init__(self, pool: upstream_pool.Pool) -> None:
         self.pool = pool
         self.sent: Reports = {}
 
--- a/cranberryrill/forwarding/peer_loads.py
+++ b/cranberryrill/forwarding/peer_loads.py
@@ -18,6 +18,7 @@
     limit_reports,
     loads_grpc,
     loads_pb2,
+    upstream_pool,
     upstreams,
 )
 from cranberryrill.membership import membership_pb2
@@ -71,7 +72,7 @@
 
 
 def parts_prefilled_since(
-    pool: upstreams.Pool,
+    pool: upstream_pool.Pool,
     sequence: int,
 ) -> list[loads_pb2.PartRead]:
     """Return the prompt parts prefilled after a sequence number."""
@@ -88,7 +89,7 @@
 class LoadService(loads_grpc.LoadsBase):
     """gRPC service that streams this process's loads to other entries."""
 
-    def __init__(self, pool: upstreams.Pool) -> None:
+    def __init__(self, pool: upstream_pool.Pool) -> None:
         self.pool = pool
 
     async def Watch(self, stream: WatchStream) -> None:
@@ -119,7 +120,7 @@
 class PeerLoads:
     """Loads of other entries, and their totals by upstream id."""
 
-    def __init__(self, pool: upstreams.Pool) -> None:
+    def __init__(self, pool: upstream_pool.Pool) -> None:
         self.pool = pool
         self.by_entry: dict[str, Loads] = {}
         self.prefill_tokens: collections.Counter[str] = collections.Counter()
--- /dev/null
+++ b/cranberryrill/forwarding/response_head.py
@@ -0,0 +1,34 @@
+"""Record what the head of a response says about its upstream."""
+
+import http
+
+from cranberryrill.forwarding import (
+    exchange,
+    http_names,
+    named_limit,
+    response_kind,
+    upstreams,
+)
+
+
+def record(
+    call: exchange.Exchange,
+    upstream: upstreams.Upstream,
+    attempt_id: str,
+    names: http_names.HttpNames,
+    now: float,
+) -> response_kind.Kind:
+    """Record the head of a response; return the kind of the response."""
+    upstream.record_load(call.header(names.load) or '', now)
+    kind = response_kind.classify(call, attempt_id, names)
+    is_own = kind is not response_kind.Kind.foreign
+    if is_own and call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        upstream.mark_replaced(now)
+    elif is_own:
+        limit = named_limit.read_limit(call.header(names.limit), upstream.id)
+        upstream.record_limit(limit, now)
+    if kind is not response_kind.Kind.rejected:
+        upstream.record_outcome(
+            now, failed=kind is not response_kind.Kind.success
+        )
+    return kind
--- a/cranberryrill/forwarding/service_statistics.py
+++ b/cranberryrill/forwarding/service_statistics.py
@@ -7,7 +7,7 @@
     decode_pool,
     peer_loads,
     request_queue,
-    upstreams,
+    upstream_pool,
 )
 from cranberryrill.traffic import document
 
@@ -16,7 +16,7 @@
     """Prefill rates, and which requests are decode-heavy."""
 
     def __init__(
-        self, pool: upstreams.Pool, loads: peer_loads.PeerLoads
+        self, pool: upstream_pool.Pool, loads: peer_loads.PeerLoads
     ) -> None:
         self.pool = pool
         self.peer_loads = loads
--- /dev/null
+++ b/cranberryrill/forwarding/upstream_pool.py
@@ -0,0 +1,144 @@
+"""All upstreams that an entry may send requests to."""
+
+import collections
+import dataclasses
+from collections import abc as collection_types
+
+from cranberryrill.forwarding import allowance, caller_request, upstreams
+from cranberryrill.registry import registry_pb2
+
+# Number of the newest prefilled parts that are kept for other entries.
+MAX_REMEMBERED_PARTS = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class PrefilledPart:
+    """Prompt part that an upstream has prefilled for this process.
+
+    Sequence numbers increase by 1 with each part.
+    """
+
+    sequence: int
+    upstream: str
+    part: str
+    tokens: int
+
+
+class Pool:
+    """All registered upstreams, by id."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, upstreams.Upstream] = {}
+        # Parts that upstreams have prefilled for this process, newest last.
+        self.recently_prefilled: collections.deque[PrefilledPart] = (
+            collections.deque(
+                maxlen=MAX_REMEMBERED_PARTS,
+            )
+        )
+        self.prefilled_count = 0
+
+    def record_prefilled(
+        self,
+        upstream: upstreams.Upstream,
+        parts: collection_types.Sequence[caller_request.PromptPart],
+    ) -> None:
+        """Record that an upstream has prefilled the parts of a prompt."""
+        for part in parts:
+            upstream.cache.record(part.id, part.tokens, is_ready=True)
+            self.prefilled_count += 1
+            self.recently_prefilled.append(
+                PrefilledPart(
+                    self.prefilled_count, upstream.id, part.id, part.tokens
+                ),
+            )
+
+    def prefilled_since(self, sequence: int) -> list[PrefilledPart]:
+        """Return the parts recorded after the given sequence number.
+
+        Only the newest are kept; older ones are missing.
+        """
+        return [
+            part for part in self.recently_prefilled if part.sequence > sequence
+        ]
+
+    def record_prefilled_elsewhere(
+        self,
+        upstream: str,
+        part: str,
+        tokens: int,
+    ) -> None:
+        """Record a part that an upstream has prefilled for another entry."""
+        target = self.by_id.get(upstream)
+        if target is not None:
+            target.cache.record(part, tokens, is_ready=True)
+
+    def update(
+        self,
+        registrations: collection_types.Mapping[str, registry_pb2.Registration],
+        cache_tokens: collection_types.Mapping[str, int],
+    ) -> None:
+        """Apply the current registrations.
+
+        An upstream that has restarted is replaced, and loses its recorded
+        state. `cache_tokens` gives the cache size by service.
+        """
+        for upstream_id, registration in registrations.items():
+            current = self.by_id.get(upstream_id)
+            started = registration.started_unix_ms
+            if (
+                current is None
+                or current.registration.started_unix_ms != started
+            ):
+                self.by_id[upstream_id] = upstreams.Upstream(
+                    registration,
+                    cache_tokens.get(registration.service, 0),
+                )
+            else:
+                current.registration = registration
+        for upstream_id in list(self.by_id):
+            if upstream_id not in registrations:
+                del self.by_id[upstream_id]
+
+    def for_service(self, service: str) -> list[upstreams.Upstream]:
+        """Return the upstreams of a service that accept new requests."""
+        return [
+            upstream
+            for upstream in self.by_id.values()
+            if upstream.registration.service == service
+            and not upstream.registration.leaving
+        ]
+
+    def limited_count(self) -> int:
+        """Return how many upstreams name a limit."""
+        return sum(
+            upstream.allowance.per_second is not None
+            for upstream in self.by_id.values()
+        )
+
+    def has_limits(self, service: str) -> bool:
+        """Return whether any upstream of a service names a limit."""
+        return any(
+            upstream.allowance.per_second is not None
+            for upstream in self.for_service(service)
+        )
+
+    def total_limit(self, service: str) -> float | None:
+        """Return the requests a second that the upstreams of a service take.
+
+        None if there is an upstream without a limit, or none at all.
+        """
+        limits = [
+            upstream.allowance.per_second
+            for upstream in self.for_service(service)
+        ]
+        named = [limit for limit in limits if limit is not None]
+        if not named or len(named) < len(limits):
+            return None
+        return sum(max(limit, allowance.MIN_PER_SECOND) for limit in named)
+
+    def limits_used_up(self, service: str, now: float) -> bool:
+        """Return whether no upstream of a service may be sent a request now."""
+        candidates = self.for_service(service)
+        return bool(candidates) and all(
+            upstream.allowance.wait_seconds(now) for upstream in candidates
+        )
--- a/tests/forwarding/test_peer_loads.py
+++ b/tests/forwarding/test_peer_loads.py
@@ -6,13 +6,13 @@
     limit_reports,
     loads_pb2,
     peer_loads,
-    upstreams,
+    upstream_pool,
 )
 from tests.forwarding import conftest
 
 
-def make_pool() -> upstreams.Pool:
-    pool = upstreams.Pool()
+def make_pool() -> upstream_pool.Pool:
+    pool = upstream_pool.Pool()
     for name in ('u1', 'u2'):
         pool.by_id[name] = conftest.make_upstream(name)
     return pool
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cranberryrill.forwarding import placement, upstreams
+from cranberryrill.forwarding import placement, prompt_cache, upstreams
 from tests.forwarding import conftest
 
 NOW = 50.0
@@ -128,7 +128,7 @@
 
 
 def test_cache_evicts_least_recently_used_parts() -> None:
-    cache = upstreams.CacheEstimate(10_000)
+    cache = prompt_cache.CacheEstimate(10_000)
     for part in conftest.make_parts('old'):
         cache.record(part.id, part.tokens, is_ready=True)
     for part in conftest.make_parts('new'):
