Avoid an upstream from the response on that says that it leaves

Nothing read the header.

forwarding/avoidance.py decides it, from each response of the upstream that was asked: whole ones, heads of streams, refusals and errors, not those of another upstream or request. Others are preferred at once; without others, requests that were received within the drain time still go there. It holds for that start of the upstream, also through updates that call it ready or leave it out for a while. The header isn't passed on. One line tells of it, and cranberryrill_requests_turned_elsewhere counts.

--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -46,6 +46,8 @@
         self.start_counted = False
         self.attempt_count = 0
         self.upstream_id = ''
+        # Whether an upstream was left out because of what it asked for.
+        self.has_avoided = False
         # When the response of the latest attempt started; None before that.
         self.responding_since: float | None = None
         # Number of attempts whose connection the upstream closed or reset.
@@ -112,6 +114,7 @@
         upstream = choice.upstream
         self.attempt_count += 1
         self.upstream_id = upstream.id
+        self.has_avoided = self.has_avoided or choice.has_avoided
         self.responding_since = None
         call = exchange.Exchange(
             self._outgoing_request(choice, now),
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -47,6 +47,8 @@
     # Retry limits of each service, shared by all entries.
     retry_limits: retry_budget.RetryLimits
     response_limits: response_limits.ResponseLimits
+    # How long a leaving upstream takes requests.
+    drain_seconds: float
 
 
 class Dispatcher:
@@ -75,7 +77,7 @@
         self.rng = rng
         self.driver = curl_multi.Driver()
         self.table = route_table.RouteTable(document.EMPTY)
-        self.pool = upstream_pool.Pool()
+        self.pool = upstream_pool.Pool(options.drain_seconds)
         self.peer_loads = peer_loads.PeerLoads(self.pool)
         self.crash_tracker = crash_tracker.CrashTracker(
             holder.evidence, holder.renew_now.set
@@ -232,7 +234,7 @@
     def limits_used_up(self, admitted: admission.Admitted, now: float) -> bool:
         """Return whether all upstreams have named limits that are used up."""
         return self.holder.may_serve(now) and self.pool.limits_used_up(
-            admitted.service.name, now
+            admitted.service.name, admitted.request.received_at, now
         )
 
     def record_response_start(
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -163,6 +163,14 @@
                 return content
         return None
 
+    def take_header(self, name: str) -> str | None:
+        """Return a header's first value and drop it from the response."""
+        content = self.header(name)
+        self.headers = [
+            header for header in self.headers if header[0].lower() != name
+        ]
+        return content
+
     def read_content(self) -> bytes:
         """Return the part of the body received since the last call."""
         received = bytes(self.content)
--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -153,6 +153,8 @@
         self.metrics.lost_connections.labels(admitted.service.name).inc(
             ended.lost_connections
         )
+        if ended.has_avoided:
+            self.metrics.turned_elsewhere.labels(admitted.service.name).inc()
         LOGGER.info(
             'request ended',
             extra={
--- a/cranberryrill/forwarding/instruments.py
+++ b/cranberryrill/forwarding/instruments.py
@@ -42,6 +42,12 @@
             'Upstreams that name a limit of requests a second.',
             registry=self.registry,
         )
+        self.turned_elsewhere = prometheus_client.Counter(
+            'cranberryrill_requests_turned_elsewhere',
+            'Requests sent while an upstream of their service was avoided.',
+            ('service',),
+            registry=self.registry,
+        )
         self.seconds = prometheus_client.Histogram(
             'cranberryrill_request_seconds',
             "Seconds from a request's last byte to the end of its answer.",
--- a/cranberryrill/forwarding/placement.py
+++ b/cranberryrill/forwarding/placement.py
@@ -79,6 +79,8 @@
     # Time of fetching a cached token from another upstream, as a fraction of
     # the time of prefilling it; None if upstreams can't fetch, or not faster.
     fetch_cost_ratio: float | None = None
+    # When the request was received, on the monotonic clock.
+    received_at: float = float('-inf')
     peer_open_requests: collection_types.Mapping[str, int] = dataclasses.field(
         default_factory=dict,
     )
@@ -101,6 +103,8 @@
     backlog_tokens: int = 0
     # Upstream to fetch cached parts from; None if none are fetched.
     fetch_from: upstreams.Upstream | None = None
+    # Whether an upstream was left out because of what its responses ask for.
+    has_avoided: bool = False
 
 
 class UpstreamSelector:
@@ -121,15 +125,22 @@
     ) -> Choice | None:
         """Return the cheapest upstream; None when no one may be chosen.
 
-        `excluded` holds upstream ids. Unreachable upstreams are considered
-        only if no other is left. Those whose limit is used up are not.
+        `excluded` holds upstream ids. Unreachable and leaving upstreams are
+        considered only if no other is left. Those whose limit is used up are
+        not.
         """
-        usable = _usable(candidates, excluded, now)
+        usable = _usable(request, candidates, excluded, now)
         if not usable:
             return None
         if request.is_engine:
-            return self._choose_engine(request, usable, now)
-        return self._choose_plain(request, usable, now)
+            choice = self._choose_engine(request, usable, now)
+        else:
+            choice = self._choose_plain(request, usable, now)
+        has_avoided = any(
+            upstream.avoidance.has_been_asked and upstream not in usable
+            for upstream in candidates
+        )
+        return dataclasses.replace(choice, has_avoided=has_avoided)
 
     def _choose_engine(
         self,
@@ -316,6 +327,7 @@
 
 
 def _usable(
+    request: PlacementRequest,
     candidates: collection_types.Sequence[upstreams.Upstream],
     excluded: collection_types.Container[str],
     now: float,
@@ -324,9 +336,13 @@
         upstream
         for upstream in candidates
         if upstream.id not in excluded
+        and upstream.avoidance.accepts(request.received_at)
         and not upstream.allowance.wait_seconds(now)
     ]
     reachable = [
         upstream for upstream in remaining if now >= upstream.unreachable_until
     ]
-    return reachable or remaining
+    staying = [
+        upstream for upstream in reachable if not upstream.avoidance.is_leaving
+    ]
+    return staying or reachable or remaining
--- a/cranberryrill/forwarding/placement_requests.py
+++ b/cranberryrill/forwarding/placement_requests.py
@@ -27,6 +27,7 @@
             data_centre,
             is_engine=False,
             peer_open_requests=loads.open_requests,
+            received_at=admitted.request.received_at,
         )
     metadata = admitted.metadata
     pool_size = statistics.decode_pool_size(admitted.service, now)
@@ -46,4 +47,5 @@
             engine.link_mbps,
             prefill_rate.tokens_per_ms,
         ),
+        received_at=admitted.request.received_at,
     )
--- a/cranberryrill/forwarding/response_head.py
+++ b/cranberryrill/forwarding/response_head.py
@@ -10,6 +10,9 @@
     upstreams,
 )
 
+# Value of the header with which an upstream says that it leaves.
+LEAVING = '1'
+
 
 def record(
     call: exchange.Exchange,
@@ -27,6 +30,8 @@
     elif is_own:
         limit = named_limit.read_limit(call.header(names.limit), upstream.id)
         upstream.record_limit(limit, now)
+        if call.take_header(names.leaving) == LEAVING:
+            upstream.record_leaving(now)
     if kind is not response_kind.Kind.rejected:
         upstream.record_outcome(
             now, failed=kind is not response_kind.Kind.success
--- a/cranberryrill/forwarding/upstream_pool.py
+++ b/cranberryrill/forwarding/upstream_pool.py
@@ -2,13 +2,21 @@
 
 import collections
 import dataclasses
+import logging
 from collections import abc as collection_types
 
-from cranberryrill.forwarding import allowance, caller_request, upstreams
+from cranberryrill.forwarding import (
+    allowance,
+    avoidance,
+    caller_request,
+    upstreams,
+)
 from cranberryrill.registry import registry_pb2
 
+LOGGER = logging.getLogger(__name__)
 # Number of the newest prefilled parts that are kept for other entries.
 MAX_REMEMBERED_PARTS = 256
+MAX_FORMER_AVOIDANCES = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,8 +35,16 @@
 class Pool:
     """All registered upstreams, by id."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, drain_seconds: float = avoidance.DEFAULT_DRAIN_SECONDS
+    ) -> None:
+        self.drain_seconds = drain_seconds
         self.by_id: dict[str, upstreams.Upstream] = {}
+        # What upstreams that are no longer registered have asked for, by
+        # incarnation, oldest first: they may be registered again.
+        self.former_avoidances: collections.OrderedDict[
+            str, avoidance.Avoidance
+        ] = collections.OrderedDict()
         # Parts that upstreams have prefilled for this process, newest last.
         self.recently_prefilled: collections.deque[PrefilledPart] = (
             collections.deque(
@@ -80,7 +96,8 @@
         """Apply the current registrations.
 
         An upstream that has restarted is replaced, and loses its recorded
-        state. `cache_tokens` gives the cache size by service.
+        state. One that was missing for a while loses all but what it has asked
+        for. `cache_tokens` gives the cache size by service.
         """
         for upstream_id, registration in registrations.items():
             current = self.by_id.get(upstream_id)
@@ -89,15 +106,40 @@
                 current is None
                 or current.registration.started_unix_ms != started
             ):
-                self.by_id[upstream_id] = upstreams.Upstream(
-                    registration,
-                    cache_tokens.get(registration.service, 0),
+                self._remove(upstream_id)
+                self._add(
+                    registration, cache_tokens.get(registration.service, 0)
                 )
             else:
                 current.registration = registration
         for upstream_id in list(self.by_id):
             if upstream_id not in registrations:
-                del self.by_id[upstream_id]
+                self._remove(upstream_id)
+
+    def _add(
+        self, registration: registry_pb2.Registration, cache_tokens: int
+    ) -> None:
+        upstream = upstreams.Upstream(
+            registration,
+            cache_tokens,
+            avoidance.Avoidance(self.drain_seconds),
+        )
+        former = self.former_avoidances.pop(upstream.incarnation, None)
+        if former is not None:
+            upstream.avoidance = former
+        self.by_id[upstream.id] = upstream
+
+    def _remove(self, upstream_id: str) -> None:
+        upstream = self.by_id.pop(upstream_id, None)
+        if upstream is None or not upstream.avoidance.has_been_asked:
+            return
+        self.former_avoidances[upstream.incarnation] = upstream.avoidance
+        while len(self.former_avoidances) > MAX_FORMER_AVOIDANCES:
+            self.former_avoidances.popitem(last=False)
+        LOGGER.info(
+            'upstream avoided no longer',
+            extra={'upstream': upstream_id, 'cause': 'not registered'},
+        )
 
     def for_service(self, service: str) -> list[upstreams.Upstream]:
         """Return the upstreams of a service that accept new requests."""
@@ -136,9 +178,18 @@
             return None
         return sum(max(limit, allowance.MIN_PER_SECOND) for limit in named)
 
-    def limits_used_up(self, service: str, now: float) -> bool:
-        """Return whether no upstream of a service may be sent a request now."""
-        candidates = self.for_service(service)
+    def limits_used_up(
+        self, service: str, received_at: float, now: float
+    ) -> bool:
+        """Return whether no upstream of a service may be sent a request now.
+
+        The request was received at `received_at`.
+        """
+        candidates = [
+            upstream
+            for upstream in self.for_service(service)
+            if upstream.avoidance.accepts(received_at)
+        ]
         return bool(candidates) and all(
             upstream.allowance.wait_seconds(now) for upstream in candidates
         )
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -5,7 +5,7 @@
 import math
 
 from cranberryrill import decimal_numbers
-from cranberryrill.forwarding import allowance, prompt_cache
+from cranberryrill.forwarding import allowance, avoidance, prompt_cache
 from cranberryrill.registry import registry_pb2
 
 LOGGER = logging.getLogger(__name__)
@@ -43,6 +43,7 @@
         self,
         registration: registry_pb2.Registration,
         cache_tokens: int = 0,
+        avoided: avoidance.Avoidance | None = None,
     ) -> None:
         self.registration = registration
         self.cache = prompt_cache.CacheEstimate(
@@ -58,6 +59,7 @@
         self.last_outcome_at = float('-inf')
         self.unreachable_until = float('-inf')
         self.allowance = allowance.Allowance()
+        self.avoidance = avoided or avoidance.Avoidance()
         # When it last lost the connection of a request of this process.
         self.lost_connection_at = float('-inf')
 
@@ -140,6 +142,14 @@
             )
         self.allowance.record_named(per_second, now)
 
+    def record_leaving(self, now: float) -> None:
+        """Record a response that says that the upstream leaves."""
+        if self.avoidance.record_leaving(now):
+            LOGGER.info(
+                'upstream avoided',
+                extra={'upstream': self.id, 'cause': 'leaving'},
+            )
+
     def peer_running(self, now: float) -> float:
         """Estimate how many requests of other processes are running."""
         others = self.load.running + self.load.waiting - self.load.own_requests
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -54,6 +54,7 @@
                 settings.data_centre,
                 self._retry_bounds(),
                 settings.responses,
+                settings.bounds.drain_ms / MILLISECONDS_PER_SECOND,
             ),
             self.holder,
             self.usage,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import http
 import json
 import time
 
@@ -23,6 +24,8 @@
 ATTEMPT_HEADER = 'Cranberryrill-Attempt-Id'
 EXPECTED_REPLICA_HEADER = 'Cranberryrill-Expect-Replica'
 LIMIT_HEADER = 'Server-Limit'
+LEAVING_HEADER = 'Server-Leaving'
+NOT_EXECUTED_HEADER = 'Cranberryrill-Not-Executed'
 ORGANISATION_HEADER = 'Cranberryrill-Tenant'
 
 
@@ -58,6 +61,13 @@
         self.work_seconds = 0.02
         # Value of the limit header; no header is sent for None.
         self.limit: str | None = None
+        # Whether all responses say that it leaves.
+        self.says_leaving = False
+        # Seconds for which it turns requests away, as the header names them;
+        # None to take all.
+        self.pause: str | None = None
+        # Times at which requests arrived, also those that were turned away.
+        self.arrived_at: list[float] = []
         self.stream_handler: type[web.RequestHandler] = StreamHandler
         self.plain_handler: type[web.RequestHandler] = PlainHandler
         self.server: httpserver.HTTPServer | None = None
@@ -113,9 +123,10 @@
         return False
 
     def accept_request(self, handler: web.RequestHandler) -> bool:
-        """Record a request; return whether it names this replica.
+        """Record a request; return whether it is executed.
 
-        One that names another replica gets status 421. An Authorization
+        One that names another replica gets status 421, one that comes during a
+        pause 503. An Authorization
         header, which must not reach a replica, is recorded in either case.
         """
         headers = handler.request.headers
@@ -123,9 +134,17 @@
         if key is not None:
             self.received_keys.append(key)
         handler.set_header(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, ''))
+        self.arrived_at.append(time.time())
         if headers.get(EXPECTED_REPLICA_HEADER) != self.name:
             handler.set_status(MISDIRECTED_REQUEST_STATUS)
             return False
+        if self.says_leaving:
+            handler.set_header(LEAVING_HEADER, '1')
+        if self.pause is not None:
+            handler.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
+            handler.set_header('Retry-After', self.pause)
+            handler.set_header(NOT_EXECUTED_HEADER, '1')
+            return False
         self.handled_requests.append(
             HandledRequest(
                 headers.get(ATTEMPT_HEADER, ''),
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -73,3 +73,44 @@
     assert caller_reply.refusal.ran is failures.Ran.no
     assert request_delivery.attempt_count == 0
     assert context.upstream.allowance.sent == 0
+
+
+REJECTED = b'HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\nX-Not-Executed: 1\r\n'
+FAILED = b'HTTP/1.1 500 Error\r\nX-Attempt-Id: a1\r\n'
+STREAM = b'%sContent-Type: text/event-stream\r\n' % scripted.HEAD
+LEAVING = b'X-Upstream-Leaving: 1\r\n'
+
+
+@pytest.mark.parametrize('streams', [False, True])
+@pytest.mark.parametrize(
+    ('start', 'is_leaving'),
+    [
+        pytest.param(scripted.HEAD + LEAVING, True, id='success'),
+        pytest.param(STREAM + LEAVING, True, id='stream'),
+        pytest.param(REJECTED + LEAVING, True, id='refusal'),
+        pytest.param(FAILED + LEAVING, True, id='error'),
+        pytest.param(scripted.HEAD, False, id='none'),
+        pytest.param(
+            b'%sX-Upstream-Leaving: 0\r\n' % scripted.HEAD, False, id='not so'
+        ),
+        pytest.param(FOREIGN + LEAVING, False, id='of another request'),
+        pytest.param(REPLACED + LEAVING, False, id='of another upstream'),
+    ],
+)
+async def test_each_own_response_may_say_that_the_upstream_leaves(
+    start: bytes, *, is_leaving: bool, streams: bool
+) -> None:
+    # Failed when nothing read the header.
+    upstream = scripted.Upstream(start + BODY, b'')
+    await upstream.listen()
+    context = scripted.OneUpstreamContext(upstream.port)
+    caller_reply = scripted.RecordingReply(0)
+    request_delivery = delivery.Delivery(
+        scripted.make_admitted(streams=streams),
+        typing.cast(typing.Any, caller_reply),
+        typing.cast(attempts.DeliveryContext, context),
+    )
+    await request_delivery.run()
+    assert context.upstream.avoidance.is_leaving is is_leaving
+    names = {name.lower() for name, _ in caller_reply.headers}
+    assert context.names.leaving not in names
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -90,9 +90,11 @@
         self.started = False
         self.status = 0
         self.received_bytes = 0
+        self.headers: typing.Any = ()
         self.refusal: failures.Failure | None = None
 
     async def start(self, status: int, headers: object, content: bytes) -> None:
+        self.headers = headers
         self.started = True
         self.status = status
         self.received_bytes += len(content)
@@ -104,6 +106,7 @@
     async def send_full(
         self, status: int, headers: object, body: bytes
     ) -> None:
+        self.headers = headers
         self.started = True
         self.status = status
         self.received_bytes += len(body)
--- a/tests/system/test_named_limits.py
+++ b/tests/system/test_named_limits.py
@@ -34,7 +34,13 @@
 class Callers:
     """Callers that send streams to random entries."""
 
-    def __init__(self, system: test_fleet.System, rng: random.Random) -> None:
+    def __init__(
+        self,
+        system: test_fleet.System,
+        rng: random.Random,
+        entries: int = ENTRIES,
+    ) -> None:
+        self.entries = entries
         self.system = system
         self.rng = rng
         self.count = 0
@@ -53,7 +59,7 @@
         self.count += 1
         try:
             answer = await self.system.post(
-                f'/stream/{self.count}', self.rng.randrange(ENTRIES)
+                f'/stream/{self.count}', self.rng.randrange(self.entries)
             )
         except (httpclient.HTTPError, OSError):
             # The entry was restarted under the request.
