Keep away from an upstream that asks for a pause

A pause leaves an upstream out of placement, for first attempts, retries and what waits, like a limit that is used up: requests go to the others within their limits, wait in the request queue, or are refused as not run with a time after the first pause. It is prolonged by a random share, and the load comes back by degrees. It is no failure of the upstream and no evidence of a crash. Values that can't be read, or are very long, are replaced and logged.

The soak mixes pauses and departures in. Five tests fail with the header unread.

--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -34,6 +34,9 @@
 VALID_KEYS = 2
 # Share of calls with a withdrawn key, once there is one.
 WITHDRAWN_SHARE = 0.1
+# Values of `Retry-After`, some of which have no defined meaning.
+PAUSES = ('0.2', '1.5', '3', '-1', 'soon')
+REPLICA_REQUEST_SECONDS = (0.5, 2.0)
 PATHS = ('/order/1', '/stream/1', '/check/1')
 
 
@@ -87,10 +90,13 @@
                 await self._start_replica(replica)
                 tasks.append(asyncio.create_task(replica.run_heartbeats()))
             await self._wait_until_served()
-            tasks.append(asyncio.create_task(self._run_operator()))
             tasks.extend(
-                asyncio.create_task(self._run_caller(number))
-                for number in range(self.callers)
+                asyncio.create_task(work)
+                for work in (
+                    self._run_operator(),
+                    self._run_requests_of_replicas(),
+                    *map(self._run_caller, range(self.callers)),
+                )
             )
             await self.faults.run(seconds)
             await self._wait_until_served()
@@ -137,6 +143,20 @@
             await self._read_configuration()
             await asyncio.sleep(0.5)
 
+    async def _run_requests_of_replicas(self) -> None:
+        """Make one replica at a time ask for a pause, or say that it leaves."""
+        while True:
+            replica = self.rng.choice(self.replicas)
+            replica.pause = self.rng.choice((None, *PAUSES))
+            replica.says_leaving = replica.pause is None
+            await asyncio.sleep(self.rng.uniform(*REPLICA_REQUEST_SECONDS))
+            replica.pause = None
+            if replica.says_leaving:
+                # The next start at the same address does not leave.
+                replica.says_leaving = False
+                replica.started_unix_ms += 1
+            await asyncio.sleep(self.rng.uniform(*REPLICA_REQUEST_SECONDS))
+
     async def _put_configuration(self) -> bool:
         self.version += self.rng.randrange(1, 4)
         self.newest_key += self.rng.randrange(2)
--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -71,8 +71,8 @@
     ) -> failures.Failure | None:
         """Wait until a request may be sent; return its refusal, or None."""
 
-    def limits_used_up(self, admitted: admission.Admitted, now: float) -> bool:
-        """Return whether all upstreams have named limits that are used up."""
+    def is_closed(self, admitted: admission.Admitted, now: float) -> bool:
+        """Return whether no upstream may be sent the request just now."""
 
     def place(
         self, admitted: admission.Admitted, excluded: frozenset[str], now: float
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -86,15 +86,13 @@
             choice = self.context.place(self.admitted, self.tried_ids, now)
             if choice is not None:
                 return choice
-            if self.tried_ids or not self.context.limits_used_up(
-                self.admitted, now
-            ):
+            if self.tried_ids or not self.context.is_closed(self.admitted, now):
                 retry_after = self.context.backoff(self.admitted, now)
                 await self._refuse(
                     refusals.no_upstream(self.progress.ran, retry_after)
                 )
                 return None
-            # Another request was sent first and used up the limits.
+            # Another request was sent first and used up what was allowed.
         return None
 
     async def _refuse_quarantined(self) -> bool:
@@ -123,7 +121,7 @@
             self.context.response_buffers,
         )
         is_decode_heavy = decode_pool.is_decode_heavy(self.admitted.metadata)
-        upstream.allowance.record_sent(now)
+        upstream.record_sent(now)
         upstream.start_request(
             call, choice.missing_tokens, is_decode_heavy=is_decode_heavy
         )
@@ -247,6 +245,9 @@
             if failed is None
             else failed.ran is not failures.Ran.no
         )
+        if choice.upstream.avoidance.pause_seconds(self._now()):
+            # It asks for a pause, which is no sign of an end.
+            may_be_last = False
         if is_certain or may_be_last:
             tracker.record_loss(
                 choice.upstream,
--- a/cranberryrill/forwarding/dispatcher.py
+++ b/cranberryrill/forwarding/dispatcher.py
@@ -126,12 +126,12 @@
         Return None if it may, or the failure to refuse it with.
         """
         service = admitted.service
-        is_limited = self.pool.has_limits(service.name)
-        if service.engine is None and not is_limited:
+        is_restricted = self.pool.is_restricted(service.name)
+        if service.engine is None and not is_restricted:
             return None
         backlog_limit_ms = self._backlog_limit_ms(admitted)
         if backlog_limit_ms is None:
-            if not is_limited:
+            if not is_restricted:
                 return None
             backlog_limit_ms = sys.float_info.max
         queued_request = request_queue.make_queued_request(
@@ -144,7 +144,7 @@
             admitted.organisation,
         )
         service_gate = self._gate_for(service.name)
-        wait_ms = self._expected_wait_ms(service.name, service_gate)
+        wait_ms = self._expected_wait_ms(admitted, service_gate)
         if request_queue.would_expire(queued_request, wait_ms):
             return self._queue_refusal(admitted, wait_ms)
         gate_result = await service_gate.wait(queued_request)
@@ -189,7 +189,9 @@
         return failures.NoPlace(
             'too much waits for the upstreams',
             retry_after_seconds=retry_policy.queue_delay_seconds(
-                wait_ms / MILLISECONDS_PER_SECOND, self.rng.random()
+                wait_ms / MILLISECONDS_PER_SECOND,
+                self._pause_seconds(admitted, now),
+                self.rng.random(),
             ),
         )
 
@@ -203,37 +205,50 @@
     def _backlog_ms(self, admitted: admission.Admitted) -> float:
         """Return the prefill backlog of the best upstream in milliseconds.
 
-        Infinite if the limits of all upstreams are used up.
+        Infinite if no upstream may be sent a request now.
         """
         now = clock.monotonic_seconds()
         choice = self._choose(admitted, frozenset(), now)
-        if choice is None and self.limits_used_up(admitted, now):
+        if choice is None and self.is_closed(admitted, now):
             return math.inf
         tokens = choice.backlog_tokens if choice else 0
         return self.statistics.prefill_rate(admitted.service.name).prefill_ms(
             tokens
         )
 
-    def _expected_wait_ms(self, service: str, service_gate: gate.Gate) -> float:
+    def _expected_wait_ms(
+        self, admitted: admission.Admitted, service_gate: gate.Gate
+    ) -> float:
         """Estimate in milliseconds how long a new request would wait.
 
         Other entries are assumed to have as much queued as this one.
         """
+        service = admitted.service.name
         entries = max(self.entry_count(), 1)
         tokens = service_gate.queue.total_tokens() * entries
         engines = max(len(self.pool.for_service(service)), 1)
         prefill_ms = self.statistics.prefill_rate(service).prefill_ms(
             tokens / engines
         )
+        pause_seconds = self._pause_seconds(admitted, clock.monotonic_seconds())
+        wait_ms = max(prefill_ms, pause_seconds * MILLISECONDS_PER_SECOND)
         per_second = self.pool.total_limit(service)
         if per_second is None:
-            return prefill_ms
+            return wait_ms
         requests = len(service_gate.queue.waiting) * entries
-        return max(prefill_ms, requests / per_second * MILLISECONDS_PER_SECOND)
+        return max(wait_ms, requests / per_second * MILLISECONDS_PER_SECOND)
 
-    def limits_used_up(self, admitted: admission.Admitted, now: float) -> bool:
-        """Return whether all upstreams have named limits that are used up."""
-        return self.holder.may_serve(now) and self.pool.limits_used_up(
+    def _pause_seconds(self, admitted: admission.Admitted, now: float) -> float:
+        return self.pool.pause_seconds(
+            admitted.service.name, admitted.request.received_at, now
+        )
+
+    def is_closed(self, admitted: admission.Admitted, now: float) -> bool:
+        """Return whether no upstream may be sent the request just now.
+
+        All have named limits that are used up, or have asked for a pause.
+        """
+        return self.holder.may_serve(now) and self.pool.is_closed(
             admitted.service.name, admitted.request.received_at, now
         )
 
@@ -264,27 +279,8 @@
             return None
         choice = self._choose(admitted, excluded, now)
         if choice is not None:
-            LOGGER.info(
-                'request placed',
-                extra={
-                    'request_id': admitted.metadata.attempt_id,
-                    'upstream': choice.upstream.id,
-                    'cost': round(choice.cost, 1),
-                    'missing_tokens': choice.missing_tokens,
-                    'candidates': choice.candidates,
-                    'home': choice.has_affinity,
-                    'fetch_from': choice.fetch_from and choice.fetch_from.id,
-                    'tokens': admitted.metadata.prompt_tokens,
-                    'output_tokens': admitted.metadata.output_tokens,
-                    'shared_parts': admitted.metadata.shared_parts,
-                    'version': admitted.version,
-                    'waited_ms': _milliseconds(
-                        now - admitted.request.received_at
-                    ),
-                    'proof_age_ms': _milliseconds(
-                        now - self.holder.fresh_as_of
-                    ),
-                },
+            placement_requests.log_choice(
+                choice, admitted, now, now - self.holder.fresh_as_of
             )
         return choice
 
@@ -337,7 +333,9 @@
 
     def backoff(self, admitted: admission.Admitted, now: float) -> float:
         """Return the delay in seconds before a refused caller should retry."""
-        return retry_policy.backoff_seconds(self.rng.random())
+        return self._pause_seconds(
+            admitted, now
+        ) + retry_policy.backoff_seconds(self.rng.random())
 
 
 def _milliseconds(seconds: float) -> int:
--- a/cranberryrill/forwarding/placement.py
+++ b/cranberryrill/forwarding/placement.py
@@ -126,8 +126,8 @@
         """Return the cheapest upstream; None when no one may be chosen.
 
         `excluded` holds upstream ids. Unreachable and leaving upstreams are
-        considered only if no other is left. Those whose limit is used up are
-        not.
+        considered only if no other is left. Those whose limit is used up, or
+        that have asked for a pause, are not.
         """
         usable = _usable(request, candidates, excluded, now)
         if not usable:
@@ -337,7 +337,7 @@
         for upstream in candidates
         if upstream.id not in excluded
         and upstream.avoidance.accepts(request.received_at)
-        and not upstream.allowance.wait_seconds(now)
+        and not upstream.wait_seconds(now)
     ]
     reachable = [
         upstream for upstream in remaining if now >= upstream.unreachable_until
--- a/cranberryrill/forwarding/placement_requests.py
+++ b/cranberryrill/forwarding/placement_requests.py
@@ -1,4 +1,6 @@
-"""Collect what the placement of a request depends on."""
+"""Collect what the placement of a request depends on, and log its result."""
+
+import logging
 
 from cranberryrill.forwarding import (
     admission,
@@ -9,6 +11,9 @@
     upstreams,
 )
 
+LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
+
 
 def make_request(
     admitted: admission.Admitted,
@@ -49,3 +54,31 @@
         ),
         received_at=admitted.request.received_at,
     )
+
+
+def log_choice(
+    choice: placement.Choice,
+    admitted: admission.Admitted,
+    now: float,
+    proof_age: float,
+) -> None:
+    """Log where a request is placed, and what decided it."""
+    waited = now - admitted.request.received_at
+    LOGGER.info(
+        'request placed',
+        extra={
+            'request_id': admitted.metadata.attempt_id,
+            'upstream': choice.upstream.id,
+            'cost': round(choice.cost, 1),
+            'missing_tokens': choice.missing_tokens,
+            'candidates': choice.candidates,
+            'home': choice.has_affinity,
+            'fetch_from': choice.fetch_from and choice.fetch_from.id,
+            'tokens': admitted.metadata.prompt_tokens,
+            'output_tokens': admitted.metadata.output_tokens,
+            'shared_parts': admitted.metadata.shared_parts,
+            'version': admitted.version,
+            'waited_ms': int(waited * MILLISECONDS_PER_SECOND),
+            'proof_age_ms': int(proof_age * MILLISECONDS_PER_SECOND),
+        },
+    )
--- a/cranberryrill/forwarding/response_head.py
+++ b/cranberryrill/forwarding/response_head.py
@@ -7,6 +7,7 @@
     http_names,
     named_limit,
     response_kind,
+    retry_after,
     upstreams,
 )
 
@@ -25,6 +26,7 @@
     upstream.record_load(call.header(names.load) or '', now)
     kind = response_kind.classify(call, attempt_id, names)
     is_own = kind is not response_kind.Kind.foreign
+    is_pause = False
     if is_own and call.status == http.HTTPStatus.MISDIRECTED_REQUEST:
         upstream.mark_replaced(now)
     elif is_own:
@@ -32,8 +34,25 @@
         upstream.record_limit(limit, now)
         if call.take_header(names.leaving) == LEAVING:
             upstream.record_leaving(now)
-    if kind is not response_kind.Kind.rejected:
+        is_pause = _record_pause(call, upstream, now)
+    if kind is not response_kind.Kind.rejected and not is_pause:
         upstream.record_outcome(
             now, failed=kind is not response_kind.Kind.success
         )
     return kind
+
+
+def _record_pause(
+    call: exchange.Exchange, upstream: upstreams.Upstream, now: float
+) -> bool:
+    """Record a pause, if the response asks for one; return whether it does.
+
+    That is no failure of the upstream.
+    """
+    if call.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    seconds = retry_after.read_pause(call.header('retry-after'), upstream.id)
+    if not seconds:
+        return False
+    upstream.record_pause(seconds, now)
+    return True
--- a/cranberryrill/forwarding/retry_policy.py
+++ b/cranberryrill/forwarding/retry_policy.py
@@ -64,10 +64,16 @@
     return MIN_RETRY_SECONDS + (MAX_RETRY_SECONDS - MIN_RETRY_SECONDS) * sampled
 
 
-def queue_delay_seconds(wait_seconds: float, sampled: float) -> float:
+def queue_delay_seconds(
+    wait_seconds: float, pause_seconds: float, sampled: float
+) -> float:
     """Return the retry delay of a request that would wait for too long.
 
-    The queue empties during the wait; retries are spread over its second half.
+    The queue empties during the wait; retries are spread over its second half,
+    but none comes before `pause_seconds`, when the first upstream takes any.
     """
     spread = MAX_RETRY_SECONDS + (1 - MAX_RETRY_SECONDS) * sampled
-    return spread * max(wait_seconds, MAX_RETRY_SECONDS)
+    delay = spread * max(wait_seconds, MAX_RETRY_SECONDS)
+    if not pause_seconds:
+        return delay
+    return max(delay, pause_seconds + backoff_seconds(sampled))
--- a/cranberryrill/forwarding/upstream_pool.py
+++ b/cranberryrill/forwarding/upstream_pool.py
@@ -116,6 +116,15 @@
             if upstream_id not in registrations:
                 self._remove(upstream_id)
 
+    def _accepting(
+        self, service: str, received_at: float
+    ) -> list[upstreams.Upstream]:
+        return [
+            upstream
+            for upstream in self.for_service(service)
+            if upstream.avoidance.accepts(received_at)
+        ]
+
     def _add(
         self, registration: registry_pb2.Registration, cache_tokens: int
     ) -> None:
@@ -157,13 +166,26 @@
             for upstream in self.by_id.values()
         )
 
-    def has_limits(self, service: str) -> bool:
-        """Return whether any upstream of a service names a limit."""
+    def is_restricted(self, service: str) -> bool:
+        """Return whether any upstream of a service names a limit or a pause."""
         return any(
             upstream.allowance.per_second is not None
+            or upstream.avoidance.pause is not None
             for upstream in self.for_service(service)
         )
 
+    def pause_seconds(
+        self, service: str, received_at: float, now: float
+    ) -> float:
+        """Return when the first pause ends if all upstreams have paused."""
+        return min(
+            (
+                upstream.avoidance.pause_seconds(now)
+                for upstream in self._accepting(service, received_at)
+            ),
+            default=0,
+        )
+
     def total_limit(self, service: str) -> float | None:
         """Return the requests a second that the upstreams of a service take.
 
@@ -178,18 +200,12 @@
             return None
         return sum(max(limit, allowance.MIN_PER_SECOND) for limit in named)
 
-    def limits_used_up(
-        self, service: str, received_at: float, now: float
-    ) -> bool:
+    def is_closed(self, service: str, received_at: float, now: float) -> bool:
         """Return whether no upstream of a service may be sent a request now.
 
         The request was received at `received_at`.
         """
-        candidates = [
-            upstream
-            for upstream in self.for_service(service)
-            if upstream.avoidance.accepts(received_at)
-        ]
+        candidates = self._accepting(service, received_at)
         return bool(candidates) and all(
-            upstream.allowance.wait_seconds(now) for upstream in candidates
+            upstream.wait_seconds(now) for upstream in candidates
         )
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -9,6 +9,7 @@
 from cranberryrill.registry import registry_pb2
 
 LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
 # Weight of the newest outcome in the moving average of failures. About the last
 # ten outcomes dominate the average.
 FAILURE_WEIGHT = 0.1
@@ -150,6 +151,41 @@
                 extra={'upstream': self.id, 'cause': 'leaving'},
             )
 
+    def record_pause(self, seconds: float, now: float) -> None:
+        """Record a response that asks for a pause."""
+        if self.avoidance.record_pause(seconds, now):
+            LOGGER.info(
+                'upstream avoided',
+                extra={
+                    'upstream': self.id,
+                    'cause': 'pause',
+                    'seconds': seconds,
+                },
+            )
+
+    def record_sent(self, now: float) -> None:
+        """Record that a request is about to be sent."""
+        self.allowance.record_sent(now)
+        ended = self.avoidance.record_sent(now)
+        if ended is not None:
+            seconds = now - ended.began_at
+            LOGGER.info(
+                'upstream avoided no longer',
+                extra={
+                    'upstream': self.id,
+                    'cause': 'pause',
+                    'seconds': ended.asked_seconds,
+                    'age_ms': int(seconds * MILLISECONDS_PER_SECOND),
+                },
+            )
+
+    def wait_seconds(self, now: float) -> float:
+        """Return how long to wait before a request may be sent; 0 if none."""
+        return max(
+            self.allowance.wait_seconds(now),
+            self.avoidance.wait_seconds(now, self.registration.slots),
+        )
+
     def peer_running(self, now: float) -> float:
         """Estimate how many requests of other processes are running."""
         others = self.load.running + self.load.waiting - self.load.own_requests
--- a/tests/forwarding/test_avoidance.py
+++ b/tests/forwarding/test_avoidance.py
@@ -16,6 +16,7 @@
 SERVICE = 'model'
 START = 100.0
 REQUESTS_PER_SECOND = 50
+EARLY_SECONDS = 0.25
 PERIOD = 1 / REQUESTS_PER_SECOND
 
 
@@ -155,8 +156,74 @@
     pool = Entry(2).pool
     pool.by_id['u0'].record_leaving(START)
     pool.by_id['u1'].record_limit(0.25, START)
-    assert not pool.limits_used_up(SERVICE, START + 1, START + 1)
-    assert pool.limits_used_up(SERVICE, START + 3, START + 3)
+    assert not pool.is_closed(SERVICE, START + 1, START + 1)
+    assert pool.is_closed(SERVICE, START + 3, START + 3)
+
+
+def test_pause_ends_after_the_time_that_was_asked_for() -> None:
+    asked = avoidance.Avoidance(sample=float)
+    assert asked.record_pause(0.25, START)
+    assert asked.wait_seconds(START + 0.2, 8) == pytest.approx(0.05)
+    assert not asked.wait_seconds(START + 0.25, 8)
+    assert asked.record_sent(START + 0.25) is not None
+
+
+def test_responses_to_requests_on_their_way_may_only_prolong_a_pause() -> None:
+    asked = avoidance.Avoidance(sample=float)
+    assert asked.record_pause(2, START)
+    assert not asked.record_pause(0.5, START + 0.1)
+    assert asked.pause_seconds(START + 0.1) == pytest.approx(1.9)
+    assert not asked.record_pause(3, START + 0.2)
+    assert asked.pause_seconds(START + 0.2) == pytest.approx(3)
+    # The line that tells of its end has its whole age.
+    ended = asked.record_sent(START + 4)
+    assert ended is not None and ended.began_at == pytest.approx(START)
+
+
+def test_requests_come_back_by_degrees() -> None:
+    asked = avoidance.Avoidance(sample=float)
+    asked.record_pause(2, START)
+    sent_at: list[float] = []
+    for millisecond in range(3000):
+        now = START + 2 + millisecond / 1000
+        if not asked.wait_seconds(now, 8):
+            asked.record_sent(now)
+            sent_at.append(now - START - 2)
+    in_ramp = [at for at in sent_at if at < avoidance.MAX_RAMP_SECONDS]
+    assert len(in_ramp) == pytest.approx(8, abs=1)
+    early = [at for at in sent_at if at < EARLY_SECONDS]
+    assert len(early) <= 3
+    assert asked.pause is None
+    assert not asked.has_been_asked
+
+
+def test_pause_outlasts_a_missing_registration() -> None:
+    entry = Entry(2)
+    entry.upstream(0).record_pause(5, START)
+    registration = entry.known.pop('u0')
+    entry.update()
+    entry.known['u0'] = registration
+    entry.update()
+    assert set(entry.place_many(START, 4.5)) == {'u1'}
+
+
+def test_unreachable_others_do_not_end_a_pause() -> None:
+    entry = Entry(2)
+    entry.upstream(0).record_pause(5, START)
+    entry.upstream(1).mark_unreachable(START)
+    assert entry.place(START + 1) == 'u1'
+
+
+def test_pause_of_all_upstreams_is_known_until_the_first_ends() -> None:
+    pool = Entry(3).pool
+    for number in range(3):
+        pool.by_id[f'u{number}'].record_pause(number + 1, START)
+    assert pool.is_restricted(SERVICE)
+    assert pool.is_closed(SERVICE, START, START)
+    seconds = pool.pause_seconds(SERVICE, START, START)
+    assert seconds == pytest.approx(1.1, abs=0.1)
+    assert not pool.is_closed(SERVICE, START, START + 1.3)
+    assert not pool.pause_seconds(SERVICE, START, START + 1.3)
 
 
 def test_first_response_decides_when_the_time_ends() -> None:
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryrill import failures
+from cranberryrill import clock, failures
 from cranberryrill.forwarding import attempts, caller_request, delivery
 from cranberryrill.quarantine import records
 from tests.forwarding import conftest, test_endless_responses as scripted
@@ -114,3 +114,43 @@
     assert context.upstream.avoidance.is_leaving is is_leaving
     names = {name.lower() for name, _ in caller_reply.headers}
     assert context.names.leaving not in names
+
+
+PAUSE = b'Retry-After: 2.5\r\n'
+BUSY = b'HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'is_paused'),
+    [
+        pytest.param(REJECTED + PAUSE, True, id='not run'),
+        pytest.param(BUSY + PAUSE, True, id='may have run'),
+        pytest.param(REJECTED, False, id='without a time'),
+        pytest.param(b'%sRetry-After: 0\r\n' % REJECTED, False, id='no time'),
+        pytest.param(FAILED + PAUSE, False, id='another status'),
+        pytest.param(
+            BUSY.replace(b'a1', b'other') + PAUSE,
+            False,
+            id='of another request',
+        ),
+    ],
+)
+async def test_refusal_with_a_time_pauses_the_upstream(
+    start: bytes, *, is_paused: bool
+) -> None:
+    # Failed when no decision read the header.
+    upstream = scripted.Upstream(start + BODY, b'')
+    await upstream.listen()
+    context = scripted.OneUpstreamContext(upstream.port)
+    request_delivery = delivery.Delivery(
+        scripted.make_admitted(streams=False),
+        typing.cast(typing.Any, scripted.RecordingReply(0)),
+        typing.cast(attempts.DeliveryContext, context),
+    )
+    await request_delivery.run()
+    now = clock.monotonic_seconds()
+    assert bool(context.upstream.avoidance.pause_seconds(now)) is is_paused
+    # A pause is no failure of the upstream, and no evidence of a crash.
+    if is_paused:
+        assert not context.upstream.failure_rate(now)
+        assert not context.crash_tracker.losses
--- a/tests/forwarding/test_endless_responses.py
+++ b/tests/forwarding/test_endless_responses.py
@@ -147,7 +147,7 @@
             return None
         return placement.Choice(self.upstream, 0, 0, 1, has_affinity=False)
 
-    def limits_used_up(self, admitted: admission.Admitted, now: float) -> bool:
+    def is_closed(self, admitted: admission.Admitted, now: float) -> bool:
         return False
 
     def retry_budget_for(
--- a/tests/forwarding/test_retry_policy.py
+++ b/tests/forwarding/test_retry_policy.py
@@ -47,6 +47,15 @@
 def test_retry_delays_are_spread_over_their_range() -> None:
     assert retry_policy.backoff_seconds(0) == pytest.approx(0.1)
     assert retry_policy.backoff_seconds(1) == pytest.approx(0.5)
-    assert retry_policy.queue_delay_seconds(4, 0) == pytest.approx(2)
-    assert retry_policy.queue_delay_seconds(4, 1) == pytest.approx(4)
-    assert retry_policy.queue_delay_seconds(0, 1) == pytest.approx(0.5)
+    assert retry_policy.queue_delay_seconds(4, 0, 0) == pytest.approx(2)
+    assert retry_policy.queue_delay_seconds(4, 0, 1) == pytest.approx(4)
+    assert retry_policy.queue_delay_seconds(0, 0, 1) == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize('pause', [0.2, 1, 5])
+@pytest.mark.parametrize('sampled', [0, 0.5, 1])
+def test_no_caller_is_called_back_into_a_pause(
+    pause: float, sampled: float
+) -> None:
+    delay = retry_policy.queue_delay_seconds(pause, pause, sampled)
+    assert pause < delay < pause + 1
