Let agents heed departures and pauses of their upstream

The agent beside an upstream read neither header. It now refuses new requests from the response on that says that the upstream leaves, as a leaving agent does, and keeps away during a pause: requests wait in their order within half of their time, or are refused as not run with the time at which the pause ends.

The decision moves to the slice of limits, which entries and agents share, and the head of a response gets a module of its own.

--- a/cranberryrill/forwarding/response_head.py
+++ b/cranberryrill/forwarding/response_head.py
@@ -7,9 +7,9 @@
     http_names,
     named_limit,
     response_kind,
-    retry_after,
     upstreams,
 )
+from cranberryrill.limits import retry_after
 
 # Value of the header with which an upstream says that it leaves.
 LEAVING = '1'
--- a/cranberryrill/forwarding/upstream_pool.py
+++ b/cranberryrill/forwarding/upstream_pool.py
@@ -7,10 +7,10 @@
 
 from cranberryrill.forwarding import (
     allowance,
-    avoidance,
     caller_request,
     upstreams,
 )
+from cranberryrill.limits import avoidance
 from cranberryrill.registry import registry_pb2
 
 LOGGER = logging.getLogger(__name__)
--- a/cranberryrill/forwarding/upstreams.py
+++ b/cranberryrill/forwarding/upstreams.py
@@ -5,7 +5,8 @@
 import math
 
 from cranberryrill import decimal_numbers
-from cranberryrill.forwarding import allowance, avoidance, prompt_cache
+from cranberryrill.forwarding import allowance, prompt_cache
+from cranberryrill.limits import avoidance
 from cranberryrill.registry import registry_pb2
 
 LOGGER = logging.getLogger(__name__)
--- a/cranberryrill/forwarding/avoidance.py
+++ b/cranberryrill/limits/avoidance.py
@@ -1,7 +1,7 @@
-"""Decide when an entry avoids an upstream because of what its responses say.
+"""Decide when an upstream is avoided because of what its responses say.
 
-Each entry decides by itself from the responses that it receives, so the
-decision holds while it is cut off from the control group, too.
+Each entry or agent decides by itself from the responses that it receives, so
+the decision holds while it is cut off from the control group, too.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 # turned away together do not come back together.
 JITTER_SHARE = 0.2
 MAX_JITTER_SECONDS = 1.0
-# After a pause an entry sends an upstream as many requests as it has slots in
+# After a pause a process sends an upstream as many requests as it has slots in
 # this time, or in that of the pause if it was shorter; then any number.
 MAX_RAMP_SECONDS = 1.0
 MIN_RAMP_SECONDS = 0.2
--- a/cranberryrill/programs/agent.py
+++ b/cranberryrill/programs/agent.py
@@ -87,7 +87,7 @@
                 price_micros_per_hour=upstream_settings.price_micros_per_hour,
                 checks_fencing=upstream_settings.checks_fencing,
             ),
-            leaving=self.relay.leaving,
+            leaving=self.relay.is_leaving(clock.monotonic_seconds()),
             load=load_announcement.announced_load(
                 self.scheduler.load_snapshot()
             ),
--- /dev/null
+++ b/cranberryrill/relay/response_head.py
@@ -0,0 +1,82 @@
+"""Read the head of an upstream's response, line by line."""
+
+import http
+
+from cranberryrill.relay import relay_pb2
+
+EVENT_STREAM = 'text/event-stream'
+LEAVING_HEADER = 'x-upstream-leaving'
+LEAVING = '1'
+LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+RETURNED_HEADERS = frozenset(
+    (
+        'content-type',
+        'cache-control',
+        'retry-after',
+        'location',
+        'etag',
+        'last-modified',
+    )
+)
+STATUS_DIGITS = 3
+
+
+class HeadReader:
+    """Head of the final response; interim ones are read and dropped."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        # Whether the whole head of the final response was received.
+        self.is_complete = False
+        self.has_length = False
+        self.streams_events = False
+        # Whether the upstream says that it leaves.
+        self.says_leaving = False
+        # The `Retry-After` header; None without one.
+        self.retry_after: str | None = None
+        # Headers that are passed on to the caller.
+        self.returned: list[relay_pb2.Header] = []
+
+    def read(self, line: bytes) -> bool:
+        """Read a whole line; return whether it ends the final head.
+
+        A line that follows the final head belongs to a trailer.
+        """
+        text = line.decode('latin-1').strip()
+        if text.startswith('HTTP/'):
+            self._start(text)
+            return False
+        if text:
+            name, _, content = text.partition(':')
+            self._read_header(name, content.strip())
+            return False
+        was_complete = self.is_complete
+        self.is_complete = self.status >= http.HTTPStatus.OK
+        return self.is_complete and not was_complete
+
+    def _start(self, line: str) -> None:
+        self.status = _parse_status(line)
+        self.is_complete = False
+        self.has_length = False
+        self.says_leaving = False
+        self.retry_after = None
+        self.returned = []
+
+    def _read_header(self, name: str, content: str) -> None:
+        lower = name.lower()
+        if lower == 'content-type':
+            self.streams_events = EVENT_STREAM in content
+        if lower in LENGTH_HEADERS:
+            self.has_length = True
+        if lower == LEAVING_HEADER:
+            self.says_leaving = content == LEAVING
+        if lower == 'retry-after':
+            self.retry_after = content
+        if lower in RETURNED_HEADERS:
+            self.returned.append(relay_pb2.Header(name=name, value=content))
+
+
+def _parse_status(line: str) -> int:
+    _, _, rest = line.partition(' ')
+    digits = rest[:STATUS_DIGITS]
+    return int(digits) if digits.isdigit() else 0
--- a/cranberryrill/relay/service.py
+++ b/cranberryrill/relay/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import typing
 from collections import abc
 
@@ -23,6 +24,8 @@
 
 LOGGER = logging.getLogger(__name__)
 RETRY_AFTER_MS = 1000
+# A request is refused at once if it would wait for a larger share of its time.
+MAX_PAUSE_SHARE = 0.5
 RunStream = server.Stream[relay_pb2.Upward, relay_pb2.Downward]
 
 
@@ -129,7 +132,7 @@
         answer: answers.Answer,
         now: float,
     ) -> None:
-        refusal = self._refusal(call)
+        refusal = self._refusal(call, now)
         if refusal is not None:
             answer.finish(refusal, now)
             return
@@ -144,18 +147,24 @@
         )
         self.group.start(work, answer.request_id)
 
-    def _refusal(self, call: relay_pb2.Call) -> relay_pb2.Refused | None:
+    def is_leaving(self, now: float) -> bool:
+        """Return whether this agent or its upstream takes no new requests."""
+        return self.leaving or self.upstream.absence.is_leaving(now)
+
+    def _refusal(
+        self, call: relay_pb2.Call, now: float
+    ) -> relay_pb2.Refused | None:
         if call.incarnation != self.incarnation:
             return relay_pb2.Refused(
                 code='other_incarnation',
                 message='the agent was restarted',
             )
-        if self.leaving:
+        if self.is_leaving(now):
             return relay_pb2.Refused(
                 code='leaving',
                 message='the upstream is leaving',
             )
-        return None
+        return _refused_in_pause(call, self.upstream.absence.wait_seconds(now))
 
     async def _run(
         self,
@@ -195,6 +204,7 @@
             answer.deadline.remaining_seconds(clock.monotonic_seconds()),
         )
         queued.end()
+        await self._wait_for_upstream(answer)
         now = clock.monotonic_seconds()
         ran = relay_pb2.Ran.YES if answer.sent else relay_pb2.Ran.NO
         if answer.cancelled.is_set():
@@ -208,6 +218,16 @@
             return False
         return True
 
+    async def _wait_for_upstream(self, answer: answers.Answer) -> None:
+        """Wait while the upstream wants nothing, within the deadline."""
+        while True:
+            now = clock.monotonic_seconds()
+            wait = self.upstream.absence.wait_seconds(now)
+            left = answer.deadline.remaining_seconds(now)
+            if not wait or left <= 0 or answer.cancelled.is_set():
+                return
+            await tasks.wait_for_event(answer.cancelled, min(wait, left))
+
     def _finish(
         self,
         ticket: tickets.Ticket,
@@ -278,6 +298,21 @@
     )
 
 
+def _refused_in_pause(
+    call: relay_pb2.Call, wait_seconds: float
+) -> relay_pb2.Refused | None:
+    """Return the refusal of a request that would wait for too long."""
+    wait_ms = wait_seconds * clock.MILLISECONDS_PER_SECOND
+    patience_ms = call.timeout_ms * MAX_PAUSE_SHARE or RETRY_AFTER_MS
+    if wait_ms < patience_ms:
+        return None
+    return relay_pb2.Refused(
+        code='paused',
+        message='the upstream wants nothing for a while',
+        retry_after_ms=math.ceil(wait_ms),
+    )
+
+
 def _refused_as_evicted() -> relay_pb2.Refused:
     return relay_pb2.Refused(
         code='evicted',
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -4,6 +4,7 @@
 import http
 import logging
 import typing
+from collections import abc
 
 import pycurl
 from tornado import httputil
@@ -14,6 +15,7 @@
     answers,
     deadlines,
     relay_pb2,
+    response_head,
     timing,
     token_counter,
 )
@@ -24,20 +26,8 @@
 REQUEST_ID_HEADER = 'X-Request-Id'
 # Number of tokens after which the upstream resumes a preempted answer.
 RESUME_HEADER = 'X-Resume-From'
-EVENT_STREAM = 'text/event-stream'
 EVENT_SEPARATOR = b'\n\n'
 LINE_END = b'\n'
-LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
-RETURNED_HEADERS = frozenset(
-    (
-        'content-type',
-        'cache-control',
-        'retry-after',
-        'location',
-        'etag',
-        'last-modified',
-    )
-)
 # Errors with which curl fails before it has sent anything. An unsupported
 # protocol is none of them: curl also reports it for an answer that is no HTTP.
 NOT_SENT_ERRORS = frozenset(
@@ -51,7 +41,6 @@
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 )
 KEEPALIVE_SECONDS = 1
-STATUS_DIGITS = 3
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
 
@@ -79,15 +68,12 @@
         self.preempted = preempted
         # Only the first exchange sets the status and headers of the answer.
         self.is_resumption = answer.head is not None
-        self.streams_events = False
         self.partial_event = bytearray()
         self.head_bytes = 0
         self.body_bytes = 0
-        self.status = 0
-        # Whether the whole head of the final answer was received.
-        self.has_head = False
-        self.has_length = False
-        self.returned_headers: list[relay_pb2.Header] = []
+        self.head = response_head.HeadReader()
+        # Called when the whole head of the final answer was received.
+        self.on_head: abc.Callable[[], None] = do_nothing
         self.counter = token_counter.TokenCounter(answer.usage)
         self.curl: typing.Any = None
         self.paused = False
@@ -184,7 +170,7 @@
         """
         if self.answer.end is not None:
             return
-        if not self.has_head:
+        if not self.head.is_complete:
             self.fail(ConnectionError('the answer had no head'), now)
             return
         if not self._is_complete():
@@ -228,31 +214,10 @@
             self.abort_reason = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
         # At the end of a connection, curl also passes on part of a line.
-        if line.endswith(LINE_END):
-            self._read_header(line)
+        if line.endswith(LINE_END) and self.head.read(line):
+            self.on_head()
         return None
 
-    def _read_header(self, line: bytes) -> None:
-        text = line.decode('latin-1').strip()
-        if text.startswith('HTTP/'):
-            self.status = _parse_status(text)
-            self.has_head = False
-            self.has_length = False
-            self.returned_headers = []
-            return
-        if not text:
-            self.has_head = self.status >= http.HTTPStatus.OK
-            return
-        name, _, value = text.partition(':')
-        if name.lower() == 'content-type':
-            self.streams_events = EVENT_STREAM in value
-        if name.lower() in LENGTH_HEADERS:
-            self.has_length = True
-        if name.lower() in RETURNED_HEADERS:
-            self.returned_headers.append(
-                relay_pb2.Header(name=name, value=value.strip()),
-            )
-
     def on_content(self, content: bytes) -> int:
         """Handle a part of the body and return the number of bytes taken.
 
@@ -281,7 +246,7 @@
         self._start_answer()
         if self.call.streamed:
             self.counter.feed(content)
-        if self.streams_events:
+        if self.head.streams_events:
             self._extend_by_whole_events(content)
         else:
             self.answer.extend(content)
@@ -312,32 +277,34 @@
         if not self.is_resumption or head is None:
             return False
         return (
-            self.status != http.HTTPStatus.OK
-            or self.streams_events != _streams_events(head)
+            self.head.status != http.HTTPStatus.OK
+            or self.head.streams_events != _streams_events(head)
         )
 
     def _stop_if_preempted(self) -> None:
         # An answer that is not streamed is generated before its body arrives,
         # so it is no longer stopped then.
-        arriving = bool(self.answer.length()) and not self.streams_events
+        arriving = bool(self.answer.length()) and not self.head.streams_events
         if self.preempted.is_set() and not arriving:
             self.stopped = True
 
     def _start_answer(self) -> None:
         if self.answer.head is None:
-            self.answer.start(self.status, self.returned_headers)
+            self.answer.start(self.head.status, self.head.returned)
 
     def _ran_state(self, error_number: int) -> relay_pb2.Ran:
-        if self.status >= http.HTTPStatus.OK:
+        if self.head.status >= http.HTTPStatus.OK:
             return relay_pb2.Ran.YES
         if error_number in NOT_SENT_ERRORS:
             return relay_pb2.Ran.NO
         return relay_pb2.Ran.UNKNOWN
 
     def _is_complete(self) -> bool:
-        if self.has_length or self.counter.done:
+        if self.head.has_length or self.counter.done:
             return True
-        return self.status in BODILESS_STATUSES or self.call.method == 'HEAD'
+        return (
+            self.head.status in BODILESS_STATUSES or self.call.method == 'HEAD'
+        )
 
     def _readers_lag(self) -> bool:
         return self.answer.unread_bytes() > answers.MAX_UNREAD_BYTES
@@ -353,14 +320,13 @@
         return int(self.stopped or self.answer.end is not None)
 
 
+def do_nothing() -> None:
+    """Do nothing at the end of a head, until another callback is set."""
+
+
 def _streams_events(head: relay_pb2.Head) -> bool:
     return any(
-        header.name.lower() == 'content-type' and EVENT_STREAM in header.value
+        header.name.lower() == 'content-type'
+        and response_head.EVENT_STREAM in header.value
         for header in head.headers
     )
-
-
-def _parse_status(line: str) -> int:
-    _, _, rest = line.partition(' ')
-    digits = rest[:STATUS_DIGITS]
-    return int(digits) if digits.isdigit() else 0
--- a/cranberryrill/relay/upstream.py
+++ b/cranberryrill/relay/upstream.py
@@ -1,12 +1,19 @@
 """Send requests to the upstream of this agent with curl."""
 
 import asyncio
+import functools
 
 from tornado import curl_httpclient, httpclient
 
 from cranberryrill import clock
 from cranberryrill.limits import buffer_budget
-from cranberryrill.relay import answers, relay_pb2, timing, transfer
+from cranberryrill.relay import (
+    answers,
+    relay_pb2,
+    requested_absence,
+    timing,
+    transfer,
+)
 from cranberryrill.settings import schema
 
 MAX_CONNECTIONS = 1000
@@ -21,6 +28,9 @@
             max_clients=MAX_CONNECTIONS,
             force_instance=True,
         )
+        self.absence = requested_absence.RequestedAbsence(
+            settings.target, settings.slots
+        )
         self.buffers = buffer_budget.BufferBudget(
             settings.responses.total_bytes
         )
@@ -43,7 +53,9 @@
             self.buffers,
             clock.monotonic_seconds(),
         )
+        exchange.on_head = functools.partial(self._record_head, exchange)
         request = self._request(call, exchange)
+        self.absence.record_sent(clock.monotonic_seconds())
         answer.sent = True
         fetch = asyncio.ensure_future(
             self.client.fetch(request, raise_error=False),
@@ -58,6 +70,9 @@
             self.buffers.release(exchange)
         exchange.finish(clock.monotonic_seconds())
 
+    def _record_head(self, exchange: transfer.Transfer) -> None:
+        self.absence.record_head(exchange.head, clock.monotonic_seconds())
+
     def close(self) -> None:
         """Close the client and its connections."""
         self.client.close()
--- a/tests/forwarding/test_avoidance.py
+++ b/tests/forwarding/test_avoidance.py
@@ -5,11 +5,11 @@
 import pytest
 
 from cranberryrill.forwarding import (
-    avoidance,
     placement,
     upstream_pool,
     upstreams,
 )
+from cranberryrill.limits import avoidance
 from cranberryrill.registry import registry_pb2
 
 DRAIN_SECONDS = 2.0
--- a/tests/forwarding/test_retry_after.py
+++ b/tests/limits/test_retry_after.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cranberryrill.forwarding import retry_after
+from cranberryrill.limits import retry_after
 
 
 @pytest.mark.parametrize(
