Bound the bytes of request bodies that an entry holds together

Before a body of over 16 KiB is read, the request waits for room in a budget of 24 MiB, in order and 0.8 s at most, and is then refused unread. Smaller ones, as all of the deployments' own except for large prompts, are not asked. The body is kept once.

--- a/cranberryrill/forwarding/forwarder.py
+++ b/cranberryrill/forwarding/forwarder.py
@@ -11,7 +11,9 @@
     delivery,
     dispatcher,
     instruments,
+    refusals,
     reply,
+    retry_policy,
 )
 
 LOGGER = logging.getLogger(__name__)
@@ -74,6 +76,18 @@
                 request, caller_reply, admission.stopping_refusal()
             )
 
+    async def refuse_body(
+        self, request: caller_request.Request, caller_reply: reply.Reply
+    ) -> None:
+        """Refuse a request whose body can't be held; it is not read."""
+        failure = refusals.NoMemory(
+            'too many large requests are open',
+            retry_after_seconds=retry_policy.backoff_seconds(
+                self.dispatcher.rng.random()
+            ),
+        )
+        await self._refuse(request, caller_reply, failure)
+
     async def _await_first_proof(self, request: caller_request.Request) -> None:
         """Wait for the first proof after a start, if the caller can wait."""
         metadata = caller_request.read_metadata(request, self.dispatcher.names)
--- a/cranberryrill/forwarding/refusals.py
+++ b/cranberryrill/forwarding/refusals.py
@@ -4,11 +4,23 @@
 that promises that the request did not run.
 """
 
+import dataclasses
+import http
+import typing
+
 from cranberryrill import failures
 from cranberryrill.forwarding import attempts
 from cranberryrill.quarantine import request_key
 
 
+@dataclasses.dataclass(frozen=True)
+class NoMemory(failures.Failure):
+    """The bodies of other requests take up the memory for them."""
+
+    code: typing.ClassVar[str] = 'no_memory'
+    status: typing.ClassVar[int] = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 def no_upstream(ran: failures.Ran, retry_after: float) -> failures.Failure:
     """Return the failure when no upstream is left to try."""
     if ran is failures.Ran.no:
--- a/cranberryrill/forwarding/server.py
+++ b/cranberryrill/forwarding/server.py
@@ -5,17 +5,25 @@
 import logging
 import typing
 import weakref
+from collections import abc
 
 from tornado import http1connection, httpserver, httputil
 
-from cranberryrill import clock, tasks
+from cranberryrill import clock, decimal_numbers, tasks
 from cranberryrill.forwarding import caller_request, forwarder, reply
+from cranberryrill.limits import body_budget
 from cranberryrill.traffic import document
 
 LOGGER = logging.getLogger(__name__)
 MILLISECONDS_PER_SECOND = 1000
 # How often a stopping server looks for connections that have become idle.
 CLOSE_POLL_SECONDS = 0.02
+# Smaller bodies are read without asking the budget.
+UNBOUNDED_BODY_BYTES = 16_384
+# A body of unknown length asks for so much at a time.
+HOLD_STEP_BYTES = 65_536
+# Callers give up a request that isn't read within a second.
+MAX_BODY_WAIT_SECONDS = 0.8
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -25,8 +33,13 @@
     there are none.
     """
 
-    def __init__(self, request_forwarder: forwarder.Forwarder) -> None:
+    def __init__(
+        self,
+        request_forwarder: forwarder.Forwarder,
+        bodies: body_budget.BodyBudget,
+    ) -> None:
         self.forwarder = request_forwarder
+        self.bodies = bodies
         self.group = tasks.TaskGroup()
         self.active_requests = 0
         self.idle = asyncio.Event()
@@ -101,26 +114,34 @@
         self.request_line: httputil.RequestStartLine | None = None
         self.headers = httputil.HTTPHeaders()
         self.body = bytearray()
+        # Bytes of the body that are held in the budget.
+        self.held_bytes = 0
         self.task: asyncio.Task[None] | None = None
 
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Store the request line and headers."""
+    ) -> abc.Awaitable[None] | None:
+        """Store the request line and headers; wait until the body fits."""
         self.request_line = typing.cast(httputil.RequestStartLine, start_line)
         self.headers = headers
+        declared = headers.get('Content-Length', '')
+        size = decimal_numbers.parse(declared) or 0
+        return self._hold(size) if size > UNBOUNDED_BODY_BYTES else None
 
-    def data_received(self, chunk: bytes) -> None:
-        """Append a part of the body."""
+    def data_received(self, chunk: bytes) -> abc.Awaitable[None] | None:
+        """Append a part of the body; wait until one of unknown length fits."""
         self.body += chunk
+        missing = len(self.body) - max(self.held_bytes, UNBOUNDED_BODY_BYTES)
+        return self._hold(HOLD_STEP_BYTES) if missing > 0 else None
 
     def finish(self) -> None:
         """Start a task that serves the complete request."""
         if self.connection.stream.closed():
             # No caller could receive the outcome, so the request is dropped.
             LOGGER.info('connection closed before its request was served')
+            self._release()
             return
         self.connection.set_close_callback(self.on_connection_close)
         loop = asyncio.get_running_loop()
@@ -128,13 +149,36 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that has disconnected."""
-        if self.task is not None:
+        if self.task is None:
+            self._release()
+        else:
             self.task.cancel()
 
-    async def _serve(self) -> None:
-        assert self.request_line is not None
-        self.server.begin()
+    async def _hold(self, size: int) -> None:
+        """Hold bytes of the budget, or refuse the request unread."""
+        if await self.server.bodies.hold(size, MAX_BODY_WAIT_SECONDS):
+            self.held_bytes += size
+            if self.connection.stream.closed():
+                self._release()
+            return
         caller_reply = reply.Reply(self.connection)
+        caller_reply.close_connection = True
+        request = self._make_request()
+        self._release()
+        try:
+            await self.server.forwarder.refuse_body(request, caller_reply)
+        except reply.CallerLeft:
+            LOGGER.info('caller left before its refusal')
+        # The rest of the body is not read.
+        self.connection.stream.close()
+
+    def _release(self) -> None:
+        self.server.bodies.release(self.held_bytes)
+        self.held_bytes = 0
+        self.body = bytearray()
+
+    def _make_request(self) -> caller_request.Request:
+        assert self.request_line is not None
         request = caller_request.Request(
             method=self.request_line.method,
             target=self.request_line.path,
@@ -142,6 +186,14 @@
             body=bytes(self.body),
             received_at=clock.monotonic_seconds(),
         )
+        # Not kept twice while the request is served.
+        self.body = bytearray()
+        return request
+
+    async def _serve(self) -> None:
+        self.server.begin()
+        caller_reply = reply.Reply(self.connection)
+        request = self._make_request()
         try:
             await self.server.forwarder.serve(request, caller_reply)
         except reply.CallerLeft:
@@ -151,6 +203,7 @@
             LOGGER.exception('request failed inside')
             caller_reply.abort()
         finally:
+            self._release()
             self.server.end()
 
 
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -18,6 +18,7 @@
     server,
     usage_counter,
 )
+from cranberryrill.limits import body_budget
 from cranberryrill.membership import membership_pb2, serving_lease
 from cranberryrill.programs import shutdown
 from cranberryrill.settings import fleet
@@ -64,7 +65,10 @@
             self.dispatcher.pool.limited_count
         )
         self.forwarder = forwarder.Forwarder(self.dispatcher, self.instruments)
-        self.caller_server = server.CallerServer(self.forwarder)
+        self.caller_server = server.CallerServer(
+            self.forwarder,
+            body_budget.BodyBudget(settings.requests.total_bytes),
+        )
         self.load_watcher = peer_loads.PeerLoadWatcher(
             settings.name,
             self.dialer,
--- a/cranberryrill/settings/fleet.py
+++ b/cranberryrill/settings/fleet.py
@@ -7,7 +7,11 @@
 import pydantic
 
 from cranberryrill import transport
-from cranberryrill.settings import quarantine_limits, response_limits
+from cranberryrill.settings import (
+    quarantine_limits,
+    request_limits,
+    response_limits,
+)
 
 STRICT = pydantic.ConfigDict(extra='forbid')
 
@@ -162,6 +166,7 @@
         ),
     ] = 1200
     bounds: Bounds = Bounds()
+    requests: request_limits.RequestLimits = request_limits.RequestLimits()
     responses: response_limits.ResponseLimits = response_limits.ResponseLimits()
     quarantine: quarantine_limits.QuarantineLimits = (
         quarantine_limits.QuarantineLimits()
--- a/tests/forwarding/test_endless_requests.py
+++ b/tests/forwarding/test_endless_requests.py
@@ -10,6 +10,7 @@
 from tornado import testing
 
 from cranberryrill.forwarding import caller_request, forwarder, reply, server
+from cranberryrill.limits import body_budget
 from cranberryrill.traffic import document
 
 LIMITS = document.CallerLimits(
@@ -66,7 +67,10 @@
     start: bytes, part: bytes
 ) -> None:
     counting = CountingForwarder()
-    callers = server.CallerServer(typing.cast(forwarder.Forwarder, counting))
+    callers = server.CallerServer(
+        typing.cast(forwarder.Forwarder, counting),
+        body_budget.BodyBudget(LIMITS.body_bytes * 4),
+    )
     http_server = server.make_server(callers, LIMITS)
     bound, port = testing.bind_unused_port()
     http_server.add_socket(bound)
@@ -87,7 +91,10 @@
 
 async def test_body_that_trickles_is_cut_off() -> None:
     counting = CountingForwarder()
-    callers = server.CallerServer(typing.cast(forwarder.Forwarder, counting))
+    callers = server.CallerServer(
+        typing.cast(forwarder.Forwarder, counting),
+        body_budget.BodyBudget(LIMITS.body_bytes * 4),
+    )
     http_server = server.make_server(callers, LIMITS)
     bound, port = testing.bind_unused_port()
     http_server.add_socket(bound)
--- a/tests/forwarding/test_server.py
+++ b/tests/forwarding/test_server.py
@@ -7,6 +7,7 @@
 
 from cranberryrill import clock
 from cranberryrill.forwarding import caller_request, forwarder, reply, server
+from cranberryrill.limits import body_budget
 from cranberryrill.traffic import document
 
 REQUEST = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -30,7 +31,10 @@
 
 async def test_request_received_during_a_stop_is_answered() -> None:
     slow = SlowForwarder()
-    callers = server.CallerServer(typing.cast(forwarder.Forwarder, slow))
+    callers = server.CallerServer(
+        typing.cast(forwarder.Forwarder, slow),
+        body_budget.BodyBudget(1_000_000),
+    )
     http_server = server.make_server(callers, document.CallerLimits())
     bound, port = testing.bind_unused_port()
     http_server.add_socket(bound)
@@ -88,7 +92,7 @@
 
 async def test_connection_with_a_just_received_request_is_not_idle() -> None:
     slow: typing.Any = SlowForwarder()
-    callers = server.CallerServer(slow)
+    callers = server.CallerServer(slow, body_budget.BodyBudget(1_000_000))
     received, idle = FakeStream(reading=False), FakeStream()
     readers = [open_reader(callers, stream) for stream in (received, idle)]
     callers.close_idle()
@@ -99,7 +103,10 @@
 
 async def test_request_of_a_closed_connection_is_not_served() -> None:
     slow = SlowForwarder()
-    callers = server.CallerServer(typing.cast(forwarder.Forwarder, slow))
+    callers = server.CallerServer(
+        typing.cast(forwarder.Forwarder, slow),
+        body_budget.BodyBudget(1_000_000),
+    )
     stream = FakeStream()
     reader_delegate = open_reader(callers, stream)
     start_line = httputil.RequestStartLine('GET', '/x', 'HTTP/1.1')
