Show a limit on bodies that is acknowledged and never in force

Seen: after a configuration that raises maxBodyBytes to 8 MiB is acknowledged, every entry answers bodies of 5 MiB with 400.

Code at fault: FleetEntry.run makes the HTTP server with the default CallerLimits; the limits of the configuration in force are read nowhere.

--- a/review/lib2/small.py
+++ b/review/lib2/small.py
@@ -22,6 +22,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ACK_SECONDS = 1.0
+# A client's link of about 250 Mbit/s.
+PIECE_BYTES = 65_536
+PIECE_SECONDS = 0.002
 PLACEHOLDER = re.compile(r'{{([A-Za-z.]+)\|json}}')
 BOUNDS = {
     'contactMs': 3000,
@@ -251,6 +254,29 @@
     return await reader.read() if until_close else b''
 
 
+async def read_answer(reader):
+    start, received = await read_head(reader)
+    try:
+        content = await read_body(reader, received, until_close=True)
+    except (OSError, asyncio.IncompleteReadError):
+        # The head has come; a failure needs no more.
+        content = None
+    return Answer(int(start.split()[1]), received, content)
+
+
+async def send_rest(writer, body, answered):
+    """Send a long body as a link does; stop when an answer has come."""
+    for offset in range(PIECE_BYTES, len(body), PIECE_BYTES):
+        await asyncio.sleep(PIECE_SECONDS)
+        if answered.done():
+            return
+        writer.write(body[offset : offset + PIECE_BYTES])
+        try:
+            await writer.drain()
+        except OSError:
+            return
+
+
 async def exchange(address, method, path, headers, body, seconds):
     """Send one request on a connection of its own; None without an answer."""
     try:
@@ -262,11 +288,10 @@
                 if body or method in ('POST', 'PUT'):
                     lines.append(f'Content-Length: {len(body)}')
                 head = '\r\n'.join(lines) + '\r\n\r\n'
-                writer.write(head.encode('latin-1') + body)
-                await writer.drain()
-                start, received = await read_head(reader)
-                content = await read_body(reader, received, until_close=True)
-                return Answer(int(start.split()[1]), received, content)
+                writer.write(head.encode('latin-1') + body[:PIECE_BYTES])
+                answered = asyncio.create_task(read_answer(reader))
+                await send_rest(writer, body, answered)
+                return await answered
             finally:
                 writer.close()
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
