--- a/review/lib2/small.py
+++ b/review/lib2/small.py
@@ -520,6 +520,10 @@
     record = Record(pathlib.Path(folder) / 'record.txt')
 
     async def bounded():
+        # Ended from outside, a case still ends the processes that it started.
+        work = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, work.cancel)
         async with asyncio.timeout(115):
             return await case(record, trouble)
 
@@ -529,6 +533,9 @@
         record.add('not run', cause=str(error))
         print(f'not run: {error}')
         sys.exit(2)
+    except asyncio.CancelledError:
+        record.add('not run', cause='ended from outside')
+        sys.exit(2)
     except TimeoutError:
         record.add('not run', cause='out of time')
         print('not run: out of time')
