Pass on no status that promises what the upstream did not prove

Cause: response_kind knew a failure that is proved not to have run, and any other; any other was passed on with its status, whatever that promises.

Change: 408, 429 and 503 without proof are a kind of their own, which is never passed on; 421 with the attempt's id is proof. The request is tried again where it may be repeated, else the caller gets 502 without the upstream's signature, which promises nothing.

--- a/cranberryrill/failures.py
+++ b/cranberryrill/failures.py
@@ -10,6 +10,17 @@
 import typing
 
 
+# Callers that get one of these may repeat even what may run only once.
+NOT_RUN_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
 class Ran(enum.Enum):
     """Whether a request ran at an upstream."""
 
--- a/cranberryrill/forwarding/relaying.py
+++ b/cranberryrill/forwarding/relaying.py
@@ -43,9 +43,15 @@
     ) -> attempts.Failed | None:
         """Relay a response once it is complete, unless it is large.
 
-        A failure that the upstream reports is returned, not relayed.
+        A failure that the upstream reports is returned, not relayed. Without
+        proof that the request did not run, its status is not even returned.
         """
         call = self.call
+        if kind is response_kind.Kind.unproved:
+            return attempts.Failed(
+                failures.Ran.unknown,
+                f'status {call.status} without proof of no execution',
+            )
         body = bytearray()
         while call.ending is None:
             body += call.read_content()
--- a/cranberryrill/forwarding/response_kind.py
+++ b/cranberryrill/forwarding/response_kind.py
@@ -3,6 +3,7 @@
 import enum
 import http
 
+from cranberryrill import failures
 from cranberryrill.forwarding import exchange, http_names
 
 MIN_FAILURE_STATUS = http.HTTPStatus.MULTIPLE_CHOICES
@@ -17,6 +18,8 @@
     failure = 'failure'
     # The upstream did not execute the request and never will.
     rejected = 'rejected'
+    # The status tells callers that the request did not run, without proof.
+    unproved = 'unproved'
     # The response does not, or not provably, belong to this request.
     foreign = 'foreign'
 
@@ -30,7 +33,8 @@
 
     A response is foreign if it echoes another attempt id, has a content
     encoding, or reports success without an upstream's signature. A rejection
-    must echo the attempt id: one of an earlier request proves nothing.
+    must echo the attempt id: one of an earlier request proves nothing. A status
+    alone is no proof, except that of a misdirected request.
     """
     echoed_id = call.header(names.attempt)
     if echoed_id is not None and attempt_id and echoed_id != attempt_id:
@@ -44,6 +48,8 @@
     if is_rejection:
         is_own = (echoed_id or '') == attempt_id
         return Kind.rejected if is_own else Kind.foreign
+    if call.status in failures.NOT_RUN_STATUSES:
+        return Kind.unproved
     if call.status >= MIN_FAILURE_STATUS:
         return Kind.failure
     if call.header(names.signature) is None:
