Say "not run" for no request that ran at an earlier agent

Callers of the product's own interface saw 429 or 503 with 'ran: no' for a request that may be repeated, had run at one agent and was refused by the next. Cause: the gateway returned the last failure alone. Now the last refusal becomes outcome_unknown (504) once an earlier attempt may have run. The four new cases failed before.

--- a/cranberryrill/callers/gateway.py
+++ b/cranberryrill/callers/gateway.py
@@ -129,6 +129,7 @@
         agents = self._candidates(call)
         agent = agents.take()
         attempts = 0
+        may_have_run = False
         while agent is not None:
             if not attempts or self._may_retry(agent, call, dispatch_result):
                 attempts += 1
@@ -142,8 +143,10 @@
                 dispatch_result = await self._dispatch(dispatch, sink)
                 if not _may_try_another(dispatch, dispatch_result):
                     break
+                ran = dispatch_result.unwrap_err().ran
+                may_have_run = may_have_run or ran is not failures.Ran.no
             agent = await agents.take_after(dispatch_result.unwrap_err())
-        return dispatch_result
+        return _without_promise(dispatch_result, may_have_run=may_have_run)
 
     async def _dispatch(
         self,
@@ -204,6 +207,20 @@
         )
 
 
+def _without_promise(
+    dispatch_result: dispatcher.Outcome, *, may_have_run: bool
+) -> dispatcher.Outcome:
+    """Return the last result; it can't say "not run" for earlier attempts."""
+    if dispatch_result.is_ok() or not may_have_run:
+        return dispatch_result
+    failure = dispatch_result.unwrap_err()
+    if failure.ran is not failures.Ran.no:
+        return dispatch_result
+    return result.Err(
+        failures.OutcomeUnknown(failure.message, failures.Ran.unknown)
+    )
+
+
 def _may_try_another(
     dispatch: dispatcher.Dispatch,
     dispatch_result: dispatcher.Outcome,
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -7,7 +7,7 @@
 import result
 
 from cranberryrill import failures
-from cranberryrill.callers import gateway
+from cranberryrill.callers import candidates, gateway
 from cranberryrill.configuration import active
 from cranberryrill.membership import membership_pb2
 from cranberryrill.relay import deadlines, dispatcher, relay_pb2
@@ -124,3 +124,37 @@
         )
     earned = 40 * budget.RETRIES_PER_REQUEST
     assert 99 - len(results) <= 40 + budget.MAX_SAVED_RETRIES + earned
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        failures.Overloaded('full', NO),
+        failures.AgentLeaving('stops', NO),
+        failures.UpstreamFailed('proved', NO),
+        failures.TimedOut('late', NO),
+    ],
+)
+async def test_refusal_of_a_retry_is_no_promise(
+    monkeypatch: pytest.MonkeyPatch, refusal: failures.Failure
+) -> None:
+    # Guards against "not run" for a request that ran at an earlier agent.
+    results: list[dispatcher.Outcome] = [
+        result.Err(failures.UpstreamFailed('silent', YES)),
+        result.Err(refusal),
+    ]
+    monkeypatch.setattr(dispatcher, 'Dispatch', ScriptedDispatch)
+    monkeypatch.setattr(ScriptedDispatch, 'results', results, raising=False)
+    monkeypatch.setattr(candidates, 'AGENT_WAIT_SECONDS', 0)
+    unused: typing.Any = None
+    holder: typing.Any = Holder()
+    router = routers.LeastLoadedRouter('dc', random.Random(1))
+    tested_gateway = gateway.Gateway(holder, unused, router, unused)
+    call = relay_pb2.Call(target='wobble', idempotent=True)
+    ended = await tested_gateway.deliver(
+        'req-1', call, Sink(), deadlines.Deadline()
+    )
+    assert not results
+    failure = ended.unwrap_err()
+    assert failure.ran is UNKNOWN
+    assert failure.status not in failures.NOT_RUN_STATUSES
