Keep an upstream's refusal from callers of the product's own interface

Callers saw 408, 421, 429 or 503 of an upstream as if the router had refused; they repeat requests after these. Now an attempt with such a response fails: as 'not run' where the upstream proves it by X-Not-Executed, which may then be tried elsewhere, and else as unknown.

--- a/cranberryrill/relay/response_head.py
+++ b/cranberryrill/relay/response_head.py
@@ -2,9 +2,12 @@
 
 import http
 
+from cranberryrill import failures
 from cranberryrill.relay import relay_pb2
 
 EVENT_STREAM = 'text/event-stream'
+# With this header an upstream says that it did not execute the request.
+NOT_EXECUTED_HEADER = 'x-not-executed'
 LEAVING_HEADER = 'x-upstream-leaving'
 LEAVING = '1'
 LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
@@ -32,11 +35,18 @@
         self.streams_events = False
         # Whether the upstream says that it leaves.
         self.says_leaving = False
+        # Whether the upstream says that it did not execute the request.
+        self.not_executed = False
         # The `Retry-After` header; None without one.
         self.retry_after: str | None = None
         # Headers that are passed on to the caller.
         self.returned: list[relay_pb2.Header] = []
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether it tells callers that the request did not run."""
+        return self.not_executed or self.status in failures.NOT_RUN_STATUSES
+
     def read(self, line: bytes) -> bool:
         """Read a whole line; return whether it ends the final head.
 
@@ -59,6 +69,7 @@
         self.is_complete = False
         self.has_length = False
         self.says_leaving = False
+        self.not_executed = False
         self.retry_after = None
         self.returned = []
 
@@ -70,6 +81,8 @@
             self.has_length = True
         if lower == LEAVING_HEADER:
             self.says_leaving = content == LEAVING
+        if lower == NOT_EXECUTED_HEADER:
+            self.not_executed = True
         if lower == 'retry-after':
             self.retry_after = content
         if lower in RETURNED_HEADERS:
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -216,7 +216,19 @@
         # At the end of a connection, curl also passes on part of a line.
         if line.endswith(LINE_END) and self.head.read(line):
             self.on_head()
-        return None
+            self._check_refusal()
+        return ABORT if self.abort_reason else None
+
+    def _check_refusal(self) -> None:
+        """Keep a refusal from the caller, who may take it for the router's.
+
+        The entry, which knows of other attempts, says whether it ran.
+        """
+        if self.head.is_refusal and not self.is_resumption:
+            proof = 'with' if self.head.not_executed else 'without'
+            self.abort_reason = (
+                f'status {self.head.status} {proof} proof of no execution'
+            )
 
     def on_content(self, content: bytes) -> int:
         """Handle a part of the body and return the number of bytes taken.
@@ -293,6 +305,9 @@
             self.answer.start(self.head.status, self.head.returned)
 
     def _ran_state(self, error_number: int) -> relay_pb2.Ran:
+        if self.head.is_refusal and not self.is_resumption:
+            proved = self.head.not_executed
+            return relay_pb2.Ran.NO if proved else relay_pb2.Ran.UNKNOWN
         if self.head.status >= http.HTTPStatus.OK:
             return relay_pb2.Ran.YES
         if error_number in NOT_SENT_ERRORS:
