Take no number outside 100 to 599 for a status

Callers saw an upstream's 600, 999, 2000 and 0200 as statuses; agents passed on 600 and 999, and 2000 as 200. Cause: entries and agents each read the number on their own, without bounds; 000 failed only because it is below 200. Ruled out: curl passes the line on as sent.

--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -11,7 +11,7 @@
 
 import pycurl
 
-from cranberryrill import decimal_numbers
+from cranberryrill import status_line
 from cranberryrill.forwarding import curl_multi
 from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
@@ -19,6 +19,7 @@
 STATUS_LINE_PREFIX = 'HTTP/'
 LINE_END = b'\n'
 MIN_FINAL_STATUS = 200
+MAX_QUOTED_CHARACTERS = 40
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
 # The transfer is paused while more of the body than this is buffered, until
@@ -119,8 +120,9 @@
         self.retained_bytes = 0
         self.head_bytes = 0
         self.body_bytes = 0
-        # The limit that the response has exceeded; empty if none.
-        self.excess = ''
+        # The limit or the rule of HTTP that the response has violated; empty if
+        # none.
+        self.violation = ''
         self.ending: Ending | None = None
         self.changed = asyncio.Event()
         self.curl: typing.Any = None
@@ -144,9 +146,9 @@
 
     def exceed(self, limit_bytes: int) -> None:
         """End the exchange, since all together hold more than the limit."""
-        self.excess = f'responses hold over {limit_bytes} bytes in all'
+        self.violation = f'responses hold over {limit_bytes} bytes in all'
         # Not within a callback of curl, which may be one of another exchange.
-        asyncio.get_running_loop().call_soon(self._interrupt, self.excess)
+        asyncio.get_running_loop().call_soon(self._interrupt, self.violation)
 
     def retain(self, size: int) -> None:
         """Record how many bytes that were read are not passed on yet."""
@@ -255,17 +257,17 @@
         # Trailers after the body count, too, but are not forwarded.
         self.head_bytes += len(line)
         if self.head_bytes > self.limits.head_bytes:
-            self.excess = f'a head of over {self.limits.head_bytes} bytes'
+            self.violation = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
         # At the end of a connection, curl also passes on part of a line.
         if not self.has_head and line.endswith(LINE_END):
             self._read_header(line)
-        return None
+        return ABORT if self.violation else None
 
     def _read_header(self, line: bytes) -> None:
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith(STATUS_LINE_PREFIX) and not self.headers:
-            self.status = _parse_status(text)
+            self._read_status(text)
         elif text:
             name, _, content = text.partition(':')
             self.headers.append((name.strip(), content.strip()))
@@ -276,21 +278,27 @@
             self.has_head = True
             self.changed.set()
 
+    def _read_status(self, line: str) -> None:
+        status = status_line.parse_status(line)
+        if status is None:
+            self.violation = f'no status in {line[:MAX_QUOTED_CHARACTERS]!r}'
+        self.status = status or 0
+
     def _on_content(self, content: bytes) -> int | None:
         if len(self.content) > MAX_UNREAD_BYTES:
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
         if self.body_bytes + len(content) > self.limits.body_bytes:
-            self.excess = f'a body of over {self.limits.body_bytes} bytes'
+            self.violation = f'a body of over {self.limits.body_bytes} bytes'
             return ABORT
         self.content += content
         self.body_bytes += len(content)
         self._record_held()
         self.changed.set()
-        return ABORT if self.excess else None
+        return ABORT if self.violation else None
 
     def _record_held(self) -> None:
-        if not self.excess:
+        if not self.violation:
             self.budget.hold(self, len(self.content) + self.retained_bytes)
 
     def _interrupt(self, cause: str) -> None:
@@ -307,23 +315,18 @@
         elif error_code in CONNECT_ERRORS and not sent_bytes:
             self.ending = Unsent(error_text)
         else:
-            cause = self.excess or error_text or _cause_of(error_code)
+            cause = self.violation or error_text or _cause_of(error_code)
             lost_errors = (
                 CONNECTION_LOST_ERRORS if self.has_head else BROKEN_HEAD_ERRORS
             )
             self.ending = Interrupted(
                 cause,
-                connection_lost=not self.excess and error_code in lost_errors,
+                connection_lost=not self.violation
+                and error_code in lost_errors,
             )
         self.changed.set()
 
 
-def _parse_status(line: str) -> int:
-    parts = line.split(' ', 2)
-    code = parts[1] if len(parts) > 1 else ''
-    return decimal_numbers.parse(code) or 0
-
-
 def _cause_of(error_code: int) -> str:
     """Return the cause of a failure that curl doesn't describe."""
     if error_code == pycurl.E_OK:
--- a/cranberryrill/relay/response_head.py
+++ b/cranberryrill/relay/response_head.py
@@ -2,7 +2,7 @@
 
 import http
 
-from cranberryrill import failures
+from cranberryrill import failures, status_line
 from cranberryrill.relay import relay_pb2
 
 EVENT_STREAM = 'text/event-stream'
@@ -21,7 +21,6 @@
         'last-modified',
     )
 )
-STATUS_DIGITS = 3
 
 
 class HeadReader:
@@ -29,6 +28,8 @@
 
     def __init__(self) -> None:
         self.status = 0
+        # Whether a status line has no status, so that this is no response.
+        self.lacks_status = False
         # Whether the whole head of the final response was received.
         self.is_complete = False
         self.has_length = False
@@ -65,7 +66,9 @@
         return self.is_complete and not was_complete
 
     def _start(self, line: str) -> None:
-        self.status = _parse_status(line)
+        status = status_line.parse_status(line)
+        self.lacks_status = status is None
+        self.status = status or 0
         self.is_complete = False
         self.has_length = False
         self.says_leaving = False
@@ -87,9 +90,3 @@
             self.retry_after = content
         if lower in RETURNED_HEADERS:
             self.returned.append(relay_pb2.Header(name=name, value=content))
-
-
-def _parse_status(line: str) -> int:
-    _, _, rest = line.partition(' ')
-    digits = rest[:STATUS_DIGITS]
-    return int(digits) if digits.isdigit() else 0
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -217,6 +217,8 @@
         if line.endswith(LINE_END) and self.head.read(line):
             self.on_head()
             self._check_refusal()
+        if self.head.lacks_status:
+            self.abort_reason = 'the answer has no status'
         return ABORT if self.abort_reason else None
 
     def _check_refusal(self) -> None:
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -41,6 +41,6 @@
         response_limits.ResponseLimits(),
         conftest.make_buffers(),
     )
-    call.excess = 'a body of over 10 bytes'
+    call.violation = 'a body of over 10 bytes'
     call._on_end(pycurl.E_RECV_ERROR, '', sent_bytes=10)
     assert not attempts.interrupted(call).connection_lost
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -242,3 +242,51 @@
     call.start()
     assert isinstance(call.ending, exchange.Unsent)
     call.stop()
+
+
+# Numbers that curl takes for a status, and text that it takes for none.
+READ_BY_CURL = (b'000', b'099', b'600', b'999', b'2000')
+REFUSED_BY_CURL = (b'0', b'42', b'0200', b'-200', b'2OO', b'200x', b'\xb2', b'')
+
+
+async def exchange_for_status(
+    status: bytes, interim: bytes = b''
+) -> exchange.Exchange:
+    """Return an exchange whose response has this in place of its status."""
+    call, _ = await exchange_with(
+        responds_with(
+            b'%sHTTP/1.1 %s OK\r\nContent-Length: 2\r\nX-Attempt-Id: a1\r\n'
+            b'X-Upstream-Signature: s\r\n\r\nok' % (interim, status)
+        )
+    )
+    return call
+
+
+@pytest.mark.parametrize('status', READ_BY_CURL + REFUSED_BY_CURL)
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 103 Hints\r\n\r\n'])
+async def test_head_without_a_status_is_no_response(
+    status: bytes, interim: bytes
+) -> None:
+    # Guards against a number that is no status and reaches callers as one.
+    call = await exchange_for_status(status, interim)
+    assert not call.has_head
+    assert isinstance(call.ending, exchange.Interrupted)
+
+
+@pytest.mark.parametrize('status', READ_BY_CURL)
+async def test_head_without_a_status_is_no_sign_of_an_end(
+    status: bytes,
+) -> None:
+    call = await exchange_for_status(status)
+    assert isinstance(call.ending, exchange.Interrupted)
+    assert call.ending.cause.startswith('no status in')
+    assert not call.ending.connection_lost
+
+
+@pytest.mark.parametrize('status', [200, 204, 299, 304, 418, 499, 500, 599])
+async def test_statuses_to_599_are_passed_on(status: int) -> None:
+    call, _ = await exchange_with(
+        responds_with(b'HTTP/1.1 %d\r\nContent-Length: 0\r\n\r\n' % status)
+    )
+    assert isinstance(call.ending, exchange.Complete)
+    assert call.status == status
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -259,6 +259,19 @@
     assert answer.end.ran == relay_pb2.Ran.NO
 
 
+@pytest.mark.parametrize(
+    'status', [b'000', b'600', b'999', b'2000', b'0200', b'20', b'']
+)
+async def test_head_without_a_status_is_no_answer(status: bytes) -> None:
+    # Guards against a number that is no status and reaches callers as one.
+    answer, _ = await run(
+        b'HTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nok' % status
+    )
+    assert answer.head is None
+    assert isinstance(answer.end, relay_pb2.Failed)
+    assert answer.end.ran == relay_pb2.Ran.UNKNOWN
+
+
 class EndlessServer:
     """Server that sends a start, then a part until the connection closes."""
 
