--- a/cranberryrill/forwarding/attempts.py
+++ b/cranberryrill/forwarding/attempts.py
@@ -17,6 +17,7 @@
     http_names,
     placement,
     retry_budget,
+    upstream_request,
     upstreams,
 )
 from cranberryrill.limits import buffer_budget
@@ -160,7 +161,7 @@
     names: http_names.HttpNames,
     last_event_id: str,
     now: float,
-) -> exchange.OutgoingRequest:
+) -> upstream_request.OutgoingRequest:
     """Return an admitted request as it is sent to the chosen upstream.
 
     `last_event_id` is empty unless a stream is resumed.
@@ -178,7 +179,7 @@
         fetch_from=address_of(choice.fetch_from),
         last_event_id=last_event_id,
     )
-    return exchange.OutgoingRequest(
+    return upstream_request.OutgoingRequest(
         upstream.registration.host,
         upstream.registration.port,
         admitted.request.method,
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -13,9 +13,10 @@
     refusals,
     relaying,
     reply,
-    retry_policy,
     response_head,
     response_kind,
+    upstream_request,
+    retry_policy,
 )
 from cranberryrill.shares import recording
 
@@ -331,7 +332,7 @@
 
     def _outgoing_request(
         self, choice: placement.Choice, now: float
-    ) -> exchange.OutgoingRequest:
+    ) -> upstream_request.OutgoingRequest:
         last_event_id = self.events.last_id if self.reply.started else ''
         return attempts.outgoing_request(
             self.admitted, choice, self.context.names, last_event_id, now
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -1,9 +1,4 @@
-"""Send one request to one upstream and receive the response incrementally.
-
-Each exchange opens its own connection. On a reused connection that turns out
-to be closed, libcurl would repeat the request by itself, and bytes that an
-upstream sends after a response could be read as the next response.
-"""
+"""Send one request to one upstream and receive the response incrementally."""
 
 import asyncio
 import dataclasses
@@ -12,7 +7,7 @@
 import pycurl
 
 from cranberryrill import status_line
-from cranberryrill.forwarding import curl_multi
+from cranberryrill.forwarding import curl_multi, upstream_request
 from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
 
@@ -25,12 +20,6 @@
 # The transfer is paused while more of the body than this is buffered, until
 # the buffer is read.
 MAX_UNREAD_BYTES = 1024 * 1024
-# A connection that is not accepted in this time is abandoned and another
-# upstream is tried. The limit allows many round trips between data centres, but
-# is shorter than the retransmission timeout of a lost packet.
-CONNECT_TIMEOUT_MS = 350
-# TCP keep-alive probes detect an upstream whose VM no longer responds.
-KEEPALIVE_SECONDS = 1
 # curl's error codes for a failed connection. The upstream received nothing only
 # if curl had also sent no byte of the request.
 CONNECT_ERRORS = frozenset(
@@ -58,18 +47,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True)
-class OutgoingRequest:
-    """HTTP request as it is sent to one upstream."""
-
-    host: str
-    port: int
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 @dataclasses.dataclass(frozen=True)
 class Complete:
     """The response was received completely, according to its framing."""
@@ -103,7 +80,7 @@
 
     def __init__(
         self,
-        request: OutgoingRequest,
+        request: upstream_request.OutgoingRequest,
         driver: curl_multi.Driver,
         limits: response_limits.ResponseLimits,
         budget: buffer_budget.BufferBudget,
@@ -208,51 +185,11 @@
         return True
 
     def _make_curl(self) -> typing.Any:
-        request = self.request
-        curl = pycurl.Curl()
-        curl.setopt(pycurl.URL, f'http://{request.host}:{request.port}/')
-        curl.setopt(pycurl.REQUEST_TARGET, request.target.encode('latin-1'))
-        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        curl.setopt(pycurl.FRESH_CONNECT, 1)
-        curl.setopt(pycurl.FORBID_REUSE, 1)
-        curl.setopt(pycurl.FOLLOWLOCATION, 0)
-        curl.setopt(pycurl.PROXY, '')
-        curl.setopt(pycurl.NOPROXY, '*')
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
-        curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-        curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl = upstream_request.make_curl(self.request)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_content)
-        curl.setopt(pycurl.HTTPHEADER, self._header_lines())
-        self._set_method(curl)
         return curl
 
-    def _set_method(self, curl: typing.Any) -> None:
-        request = self.request
-        if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
-            curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.POSTFIELDS, request.body)
-        elif request.method == 'HEAD':
-            curl.setopt(pycurl.NOBODY, 1)
-        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
-
-    def _header_lines(self) -> list[bytes]:
-        lines = [
-            f'{name}: {content}' if content else f'{name};'
-            for name, content in self.request.headers
-        ]
-        listed = {name.lower() for name, _ in self.request.headers}
-        # Suppress the headers that curl would add by itself.
-        lines.extend(
-            f'{name}:'
-            for name in ('Accept', 'Content-Type', 'Expect', 'User-Agent')
-            if name.lower() not in listed
-        )
-        return [line.encode('latin-1') for line in lines]
-
     def _on_header(self, line: bytes) -> int | None:
         # Trailers after the body count, too, but are not forwarded.
         self.head_bytes += len(line)
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -3,11 +3,16 @@
 import pycurl
 import pytest
 
-from cranberryrill.forwarding import attempts, curl_multi, exchange
+from cranberryrill.forwarding import (
+    attempts,
+    curl_multi,
+    exchange,
+    upstream_request,
+)
 from cranberryrill.settings import response_limits
 from tests.forwarding import conftest
 
-REQUEST = exchange.OutgoingRequest('127.0.0.1', 80, 'GET', '/', (), b'')
+REQUEST = upstream_request.OutgoingRequest('127.0.0.1', 80, 'GET', '/', (), b'')
 
 
 @pytest.mark.parametrize(
--- a/tests/forwarding/test_connect_time.py
+++ b/tests/forwarding/test_connect_time.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cranberryrill.forwarding import curl_multi, exchange
+from cranberryrill.forwarding import curl_multi, exchange, upstream_request
 from cranberryrill.settings import response_limits
 from tests.forwarding import conftest, test_exchange
 
@@ -23,7 +23,9 @@
     port = await test_exchange.ScriptedUpstream(script).start()
     driver = curl_multi.Driver()
     call = exchange.Exchange(
-        exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b''),
+        upstream_request.OutgoingRequest(
+            '127.0.0.1', port, 'GET', '/', (), b''
+        ),
         driver,
         response_limits.ResponseLimits(),
         conftest.make_buffers(),
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -13,6 +13,7 @@
     exchange,
     http_names,
     response_kind,
+    upstream_request,
 )
 from cranberryrill.settings import response_limits
 from tests.forwarding import conftest
@@ -71,7 +72,7 @@
 ) -> tuple[exchange.Exchange, ScriptedUpstream]:
     upstream = ScriptedUpstream(script)
     port = await upstream.start()
-    request = exchange.OutgoingRequest(
+    request = upstream_request.OutgoingRequest(
         '127.0.0.1',
         port,
         'POST' if body else 'GET',
@@ -131,7 +132,9 @@
     server.close()
     await server.wait_closed()
     driver = curl_multi.Driver()
-    request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
+    request = upstream_request.OutgoingRequest(
+        '127.0.0.1', port, 'GET', '/', (), b''
+    )
     call = exchange.Exchange(
         request,
         driver,
@@ -199,7 +202,9 @@
     upstream = ScriptedUpstream(script)
     port = await upstream.start()
     driver = curl_multi.Driver()
-    request = exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b'')
+    request = upstream_request.OutgoingRequest(
+        '127.0.0.1', port, 'GET', '/', (), b''
+    )
     call = exchange.Exchange(
         request,
         driver,
@@ -218,7 +223,7 @@
 async def test_address_that_curl_does_not_take_is_unsent(host: str) -> None:
     # Failed with an error in the delivery, which cut the caller's connection.
     call = exchange.Exchange(
-        exchange.OutgoingRequest(host, 80, 'GET', '/', (), b''),
+        upstream_request.OutgoingRequest(host, 80, 'GET', '/', (), b''),
         curl_multi.Driver(),
         response_limits.ResponseLimits(),
         conftest.make_buffers(),
@@ -232,7 +237,7 @@
 
 async def test_header_that_cannot_be_encoded_is_unsent() -> None:
     call = exchange.Exchange(
-        exchange.OutgoingRequest(
+        upstream_request.OutgoingRequest(
             '127.0.0.1', 80, 'GET', '/', (('X-Expected', '\u0416'),), b''
         ),
         curl_multi.Driver(),
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -11,6 +11,7 @@
     events,
     exchange,
     relaying,
+    upstream_request,
 )
 from cranberryrill.settings import response_limits
 from tests.forwarding import conftest
@@ -66,7 +67,9 @@
     server = await asyncio.start_server(respond, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     call = exchange.Exchange(
-        exchange.OutgoingRequest('127.0.0.1', port, 'GET', '/', (), b''),
+        upstream_request.OutgoingRequest(
+            '127.0.0.1', port, 'GET', '/', (), b''
+        ),
         curl_multi.Driver(),
         response_limits.ResponseLimits(),
         conftest.make_buffers(),
