Close a gRPC server's connections with the server

Cause: a control member whose disk is full ends and starts again in its process. grpclib leaves the connections of a closed server open, with their handlers, so that clients went on to call the member that had ended. It passed commands on to the leader it had known; once another led, it refused them all.

Ruled out: a member dismissed for good (each was admitted), a leader that can't be reached (present members reach it).

--- a/cranberryrill/transport.py
+++ b/cranberryrill/transport.py
@@ -5,11 +5,20 @@
 import logging
 import pathlib
 import ssl
+import weakref
 from collections import abc
 import typing
 
 import pydantic
-from grpclib import client, config, const, events, exceptions, server
+from grpclib import (
+    client,
+    config,
+    const,
+    events,
+    exceptions,
+    protocol,
+    server,
+)
 from tornado import httpserver
 
 from cranberryrill.certificates import roles
@@ -264,17 +273,48 @@
         raise AddressUnusable(address, error) from error
 
 
+class GrpcServer(server.Server):
+    """gRPC server that also closes its connections when it is closed.
+
+    grpclib leaves them open, with their handlers. While the process lives,
+    peers would go on to call the handlers of a server that has ended.
+    """
+
+    def __init__(self, handlers: abc.Collection[Servable]) -> None:
+        super().__init__(handlers)
+        self.accepted: weakref.WeakSet[protocol.H2Protocol] = weakref.WeakSet()
+
+    def close(self) -> None:
+        """Stop listening, cancel the open calls and close all connections."""
+        super().close()
+        # A connection accepted just now is set up in a callback scheduled
+        # before this one.
+        asyncio.get_running_loop().call_soon(self._close_connections)
+
+    def _close_connections(self) -> None:
+        for connection in list(self.accepted):
+            # It has none before the end of a TLS handshake.
+            processor = getattr(connection, 'processor', None)
+            if processor is not None:
+                processor.close('the server has ended')
+
+    def _protocol_factory(self) -> protocol.H2Protocol:
+        connection = super()._protocol_factory()
+        self.accepted.add(connection)
+        return connection
+
+
 async def listen(
     handlers: abc.Collection[Servable],
     address: Address,
     tls: TlsSettings | None,
-) -> server.Server:
+) -> GrpcServer:
     """Start a gRPC server of `handlers` at `address`.
 
     With TLS, each method may be called only by the roles that need it. Raises
     `AddressUnusable`.
     """
-    grpc_server = server.Server(handlers)
+    grpc_server = GrpcServer(handlers)
     context = None
     if tls is not None:
         events.listen(grpc_server, events.RecvRequest, _check_role)
