Leave a control member that refuses a command

Operators saw usage of an entry refused to the end by one member, while others committed that of other entries. Cause: the submitter left a member only after a failed call; a refusal is an answer. Ruled out: no leader at all, as others committed meanwhile.

Now a refusal and an unknown outcome lead to the next member; connections of refusals are kept, so that an election causes no storm of new ones, and concurrent commands are not interrupted.

--- a/cranberryrill/state/submission.py
+++ b/cranberryrill/state/submission.py
@@ -69,7 +69,12 @@
 
 
 class Submitter:
-    """Submit commands to one control member; after a failure, to the next."""
+    """Submit commands to one control member; to the next if it doesn't commit.
+
+    A member may fail, or refuse for as long as it knows no leader. There is at
+    most one connection to each member; those of refusals are kept, since all
+    members refuse in turn during an election.
+    """
 
     def __init__(
         self,
@@ -78,8 +83,9 @@
         rng: random.Random,
     ) -> None:
         self.dialer = dialer
+        # The first one is used.
         self.control = rng.sample(control, len(control))
-        self.channel: client.Channel | None = None
+        self.channels: dict[transport.Address, client.Channel] = {}
 
     def add_control_addresses(
         self,
@@ -103,7 +109,8 @@
         """
         proved_uncommitted = True
         while True:
-            answer = await self._attempt(command)
+            address = self.control[0]
+            answer = await self._attempt(command, address)
             if answer is None or answer.verdict == Verdict.OUTCOME_UNKNOWN:
                 proved_uncommitted = False
             elif answer.verdict == Verdict.COMMITTED:
@@ -112,33 +119,42 @@
                 return result.Err(
                     NotSubmitted('forbidden', proved_uncommitted=True),
                 )
+            self._try_next_member(address)
             if clock.monotonic_seconds() >= deadline:
-                return result.Err(
-                    NotSubmitted('no outcome in time', proved_uncommitted),
-                )
+                reason = f'no outcome in time, {_last_answer(address, answer)}'
+                return result.Err(NotSubmitted(reason, proved_uncommitted))
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     async def _attempt(
         self,
         command: commands_pb2.Command,
+        address: transport.Address,
     ) -> submission_pb2.SubmitAnswer | None:
-        if self.channel is None:
-            self.channel = self.dialer.dial(
-                self.control[0],
-                roles.Role.control,
-            )
-        used = self.channel
-        stub = submission_grpc.SubmissionStub(used)
+        channel = self.channels.get(address)
+        if channel is None:
+            channel = self.dialer.dial(address, roles.Role.control)
+            self.channels[address] = channel
+        stub = submission_grpc.SubmissionStub(channel)
         try:
             return await stub.Submit(command, timeout=CALL_TIMEOUT_SECONDS)
         except transport.CALL_ERRORS:
-            self._try_next_member(used)
+            channel.close()
+            # A concurrent call may have replaced the connection already.
+            if self.channels.get(address) is channel:
+                self.channels.pop(address)
             return None
 
-    def _try_next_member(self, failed: client.Channel) -> None:
-        failed.close()
-        if self.channel is not failed:
-            # A concurrent call has already replaced the connection.
-            return
-        self.channel = None
-        self.control.append(self.control.pop(0))
+    def _try_next_member(self, left: transport.Address) -> None:
+        # A concurrent call may have left the member already.
+        if self.control[0] == left:
+            self.control.append(self.control.pop(0))
+
+
+def _last_answer(
+    address: transport.Address, answer: submission_pb2.SubmitAnswer | None
+) -> str:
+    """Describe the last answer, which names the member in logs."""
+    verdict = 'no answer'
+    if answer is not None:
+        verdict = Verdict.Verdict.Name(answer.verdict).lower()
+    return f'last {address.host}:{address.port}: {verdict}'
