Record the end of the incarnation that ends, not of an earlier one

Cause: the member that was asked knew only the earlier start, whose end was recorded, and committed nothing. The log shows it: no 'departure announced' for the second DELETE. Ruled out: a heartbeat that undoes the end (nothing was recorded), entries that don't act on it (they did before).

Now a DELETE after the drain time of an end is that of a later start: it is awaited, and else stands for each start up to now. A member that hears of a new start tells the others at once.

--- a/cranberryrill/programs/fleet_control.py
+++ b/cranberryrill/programs/fleet_control.py
@@ -158,6 +158,8 @@
                 },
             )
             self.replicated.membership_service.wake()
+            # Its end may be announced to another member soon.
+            self.replicated.exchange.wake()
         if not registration.leaving:
             return result.Ok(None)
         return await self.replicated.departure_recorder.commit(
@@ -316,6 +318,7 @@
         fixed=False,
         founding_members=settings.seed_hosts if settings.founds else (),
         heartbeat_seconds=settings.heartbeat_ms / MILLISECONDS_PER_SECOND,
+        drain_seconds=settings.bounds.drain_ms / MILLISECONDS_PER_SECOND,
         quarantine=settings.quarantine,
         data_centres=frozenset(settings.regions),
         lock=lock,
--- a/cranberryrill/programs/replicated_state.py
+++ b/cranberryrill/programs/replicated_state.py
@@ -57,6 +57,8 @@
     founding_members: tuple[str, ...] | None = None
     # Interval between the heartbeats of an upstream.
     heartbeat_seconds: float = 1.2
+    # How long an upstream serves on after it announced its end.
+    drain_seconds: float = 2.0
     quarantine: quarantine_limits.QuarantineLimits = (
         quarantine_limits.QuarantineLimits()
     )
@@ -122,7 +124,10 @@
         self.evidence = ledger.Ledger(options.quarantine)
         self.proposer = proposals.Proposer(self.member, self.peers)
         self.departure_recorder = departure_recorder.DepartureRecorder(
-            self.registry, self.departures, self.proposer
+            self.registry,
+            self.departures,
+            self.proposer,
+            options.drain_seconds,
         )
         self.evacuation_recorder = evacuation_recorder.EvacuationRecorder(
             options.data_centres, self.proposer
--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -36,28 +36,48 @@
         registry: table.RegistrationTable,
         recorded: departures.DeparturesState,
         proposer: proposals.Proposer,
+        drain_seconds: float,
     ) -> None:
         self.registry = registry
         self.recorded = recorded
         self.proposer = proposer
+        # How long an upstream serves on after its end was acknowledged.
+        self.drain_seconds = drain_seconds
 
     async def find(
         self, upstream: str, now: float
     ) -> registry_pb2.Registration:
-        """Return the newest registration of an upstream.
+        """Return the registration of the incarnation that ends.
 
-        An upstream may register at one member and deregister at another, so an
-        unknown one is awaited for a moment. If it stays unknown, the result
-        stands for each incarnation that has started up to now.
+        An upstream may register at one member and deregister at another, so one
+        that is unknown here is awaited for a moment. If it stays unknown, the
+        result stands for each incarnation that has started up to now.
         """
         deadline = now + SIGHTING_TIMEOUT_SECONDS
-        while upstream not in self.registry.records:
+        known = self._find_known(upstream, now)
+        while known is None:
             if clock.monotonic_seconds() >= deadline:
                 return registry_pb2.Registration(
                     id=upstream, started_unix_ms=clock.unix_milliseconds()
                 )
             await asyncio.sleep(SIGHTING_POLL_SECONDS)
-        return self.registry.records[upstream].registration
+            known = self._find_known(upstream, now)
+        return known
+
+    def _find_known(
+        self, upstream: str, now: float
+    ) -> registry_pb2.Registration | None:
+        """Return the newest registration, if its end may be announced now.
+
+        Soon after an end, another announcement is a repeat. After the drain
+        time a later incarnation may have started, and ends.
+        """
+        record = self.registry.records.get(upstream)
+        if record is None:
+            return None
+        if record.removed and now >= record.updated_at + self.drain_seconds:
+            return None
+        return record.registration
 
     async def commit(
         self, departure: registry_pb2.RecordDeparture, now: float
--- a/tests/registry/test_departure_recorder.py
+++ b/tests/registry/test_departure_recorder.py
@@ -18,6 +18,11 @@
     id='u1', service='model', host='10.0.0.1', port=80, started_unix_ms=1000
 )
 
+RESTARTED = registry_pb2.Registration(
+    id='u1', service='model', host='10.0.0.1', port=80, started_unix_ms=9000
+)
+DRAIN_SECONDS = 2.0
+
 
 class FakeProposer:
     """Proposer whose commands are committed, or wait for a leader forever."""
@@ -43,6 +48,7 @@
         table.RegistrationTable(),
         departures.DeparturesState(lambda _: True),
         typing.cast(typing.Any, proposer),
+        DRAIN_SECONDS,
     )
     return recorder, proposer
 
@@ -91,3 +97,56 @@
         id='u1', started_unix_ms=found.started_unix_ms + 1
     )
     assert registry.record(restarted, now)
+
+
+def record_end(
+    recorder: departure_recorder.DepartureRecorder, ended_at: float
+) -> None:
+    """Record the end of an earlier incarnation, in the log, too."""
+    recorder.registry.record(REGISTRATION, ended_at, removed=True)
+    recorder.recorded.by_id['u1'] = registry_pb2.RecordDeparture(
+        registration=REGISTRATION, removed=True
+    )
+
+
+async def commit_end(
+    recorder: departure_recorder.DepartureRecorder, now: float
+) -> registry_pb2.Registration:
+    """Deregister an upstream; return the registration that ended."""
+    found = await recorder.find('u1', now)
+    recorder.registry.record(found, now, removed=True)
+    departure = registry_pb2.RecordDeparture(registration=found, removed=True)
+    assert (await recorder.commit(departure, now)).is_ok()
+    return found
+
+
+async def test_incarnation_after_one_that_has_ended_is_awaited() -> None:
+    # Guards against an end that is acknowledged for an earlier incarnation, of
+    # which alone this member knows.
+    recorder, proposer = make_recorder()
+    now = clock.monotonic_seconds()
+    record_end(recorder, now - DRAIN_SECONDS)
+    committing = asyncio.create_task(commit_end(recorder, now))
+    await asyncio.sleep(0.05)
+    recorder.registry.merge(registry_pb2.Sighting(registration=RESTARTED), now)
+    assert await committing == RESTARTED
+    assert len(proposer.commands) == 1
+
+
+async def test_end_of_an_incarnation_that_registers_late_is_recorded() -> None:
+    # Guards against a heartbeat that arrives after the end that it precedes.
+    recorder, proposer = make_recorder()
+    now = clock.monotonic_seconds()
+    record_end(recorder, now - DRAIN_SECONDS)
+    await commit_end(recorder, now)
+    assert len(proposer.commands) == 1
+    assert not recorder.registry.record(RESTARTED, now)
+
+
+async def test_repeated_end_is_answered_at_once() -> None:
+    recorder, proposer = make_recorder()
+    now = clock.monotonic_seconds()
+    record_end(recorder, now - DRAIN_SECONDS / 2)
+    assert await commit_end(recorder, now) == REGISTRATION
+    assert clock.monotonic_seconds() < now + 0.1
+    assert not proposer.commands
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -16,6 +16,8 @@
 # A member that has lost its leader needs an election.
 SETTLE_SECONDS = 3.0
 LOAD_SECONDS = 1.5
+# An upstream serves for the drain time, and starts again later.
+RESTART_SECONDS = 2.5
 CALL_TIMEOUT_SECONDS = 5.0
 
 
@@ -120,3 +122,26 @@
         member_process(system, 0).send(signal.SIGTERM)
         assert (await call).code == 503
         assert await asyncio.to_thread(member_process(system, 0).wait) == 0
+
+
+async def test_end_right_after_a_restart_is_recorded_at_any_member(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against an end that is acknowledged by a member that knows the
+    # earlier incarnation only, and recorded for that one.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        leaving = system.replicas[2]
+        first = system.fleet.control_addresses[0]
+        await leave(system, leaving, 0)
+        await asyncio.sleep(RESTART_SECONDS)
+        leaving.started_unix_ms = int(time.time() * outside.MS_PER_SECOND)
+        leaving.heartbeat_sequence = 0
+        leaving.control_addresses = [first]
+        assert await leaving.send_heartbeat()
+        await leave(system, leaving, 1)
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert await count_requests(system, leaving) == 0
