--- a/cranberryrill/failures.py
+++ b/cranberryrill/failures.py
@@ -10,7 +10,8 @@
 import typing
 
 
-# Callers that get one of these may repeat even what may run only once.
+# Statuses that tell a caller that its request did not run and never will. The
+# caller may then repeat even a request that may run only once.
 NOT_RUN_STATUSES = frozenset(
     (
         http.HTTPStatus.REQUEST_TIMEOUT,
--- a/cranberryrill/forwarding/delivery.py
+++ b/cranberryrill/forwarding/delivery.py
@@ -15,8 +15,8 @@
     reply,
     response_head,
     response_kind,
-    upstream_request,
     retry_policy,
+    upstream_request,
 )
 from cranberryrill.shares import recording
 
