--- a/tests/system/test_full_disks.py
+++ b/tests/system/test_full_disks.py
@@ -13,6 +13,8 @@
 from tests.system import test_fleet
 
 ENTRIES = 4
+# Numbers of the control members with a disk.
+DISKS = range(3)
 FULL_SECONDS = 1.5
 # Until a member has failed, or is back.
 MEMBER_SECONDS = 15.0
@@ -167,11 +169,17 @@
     # Guards against clients that keep to a member that can acknowledge nothing:
     # one that ended as its disk was full, and whose connections outlived it.
     async with test_fleet.run_system(
-        tmp_path, replicas_with_spares, entries=ENTRIES
+        tmp_path,
+        replicas_with_spares,
+        members=len(DISKS) + 1,
+        entries=ENTRIES,
+        # It redirects its callers to the others.
+        diskless=[len(DISKS)],
     ) as system:
         disks = Disks(system)
         leader = disks.leader()
-        followers = [vm for vm in system.fleet.members if vm != leader]
+        members = [system.fleet.members[number] for number in DISKS]
+        followers = [member for member in members if member != leader]
         async with steady_load(system):
             for member in (*followers, leader):
                 await disks.fill(member)
