--- a/tests/forwarding/test_early_responses.py
+++ b/tests/forwarding/test_early_responses.py
@@ -20,6 +20,8 @@
 
 HOST = '127.0.0.1'
 READ_BYTES = 65_536
+# Less than any body, so that a part of each isn't acknowledged.
+RECEIVE_BUFFER_BYTES = 65_536
 # More than the kernels of both ends hold, and less.
 LARGE_BYTES = 8_000_000
 HELD_BYTES = 300_000
@@ -50,6 +52,9 @@
         self.end = end
         self.read_bytes = read_bytes
         self.listener = socket.create_server((HOST, 0))
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.port: int = self.listener.getsockname()[1]
         threading.Thread(target=self.serve, daemon=True).start()
 
