--- a/cranberryrill/forwarding/relaying.py
+++ b/cranberryrill/forwarding/relaying.py
@@ -43,8 +43,9 @@
     ) -> attempts.Failed | None:
         """Relay a response once it is complete, unless it is large.
 
-        A failure that the upstream reports is returned, not relayed. Without
-        proof that the request did not run, its status is not even returned.
+        A failure that the upstream reports is returned, not relayed. One whose
+        status claims, without proof, that the request did not run is returned
+        without its response, since callers rely on such a status.
         """
         call = self.call
         if kind is response_kind.Kind.unproved:
