Take no response from a malformed head at entries

Callers got complete answers from heads that are none: with a length that curl ignores (beyond 64 bits, a blank or a control byte in or after the name, a line that begins with a blank, a coding that is no coding) the body of the caller is whatever came before the connection ended, with chunk sizes in it where chunks were meant. Fields with control bytes in their name or value were passed on.

Cause: the exchange read the lines of a head leniently and with rules of its own (it stripped blanks that curl kept), and believed that any `Content-Length` or `Transfer-Encoding` delimits the body, where curl had dropped it.

Change: one reader of responses, beside the status line's. It raises on what the grammar of RFC 9110 and RFC 9112 doesn't know, before the caller has a byte: the attempt fails, may have run, and is no sign that the upstream has ended. The framing follows RFC 9112, section 6.3, less what a client that asks for no coding needn't take: `chunked` alone, once, without a length and from HTTP/1.1; equal lengths count as one. A body with a length is whole only if it has that length.

Ruled out: asking curl what it read. It tells the length but not the coding, and nothing of the lines that it dropped.

Left: a fold after a field reaches us unfolded, and a misspelt but valid name is a field of its own.

--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -2,24 +2,15 @@
 
 import asyncio
 import dataclasses
-import http
 import typing
 
 import pycurl
 
-from cranberryrill import status_line
+from cranberryrill import response_reader
 from cranberryrill.forwarding import curl_multi, upload, upstream_request
 from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
 
-STATUS_LINE_PREFIX = 'HTTP/'
-FRAMING_HEADERS = ('content-length', 'transfer-encoding')
-LINE_END = b'\n'
-MIN_FINAL_STATUS = 200
-BODILESS_STATUSES = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
-)
-MAX_QUOTED_CHARACTERS = 40
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
 # The transfer is paused while more of the body than this is buffered, until
@@ -95,6 +86,7 @@
         self.limits = limits
         self.budget = budget
         self.upload = upload.Upload(len(request.body))
+        self.reader = response_reader.ResponseReader(request.method)
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.has_head = False
@@ -102,7 +94,6 @@
         # Bytes that were read from `content`, but not passed on yet.
         self.retained_bytes = 0
         self.head_bytes = 0
-        self.body_bytes = 0
         # The limit or the rule of HTTP that the response has violated; empty if
         # none.
         self.violation = ''
@@ -150,11 +141,15 @@
 
     @property
     def has_framing(self) -> bool:
-        """Return whether the response headers delimit the body.
+        """Return whether the head of the response delimits the body.
 
-        Without them, the body ends when the connection closes.
+        Otherwise, the body ends when the connection closes.
         """
-        return any(self.header(name) is not None for name in FRAMING_HEADERS)
+        head = self.reader.head
+        return (
+            head is not None
+            and head.framing is not response_reader.Framing.connection_end
+        )
 
     def connect_seconds(self) -> float:
         """Return how long it took to connect; 0 if that isn't known.
@@ -211,40 +206,30 @@
         if self.head_bytes > self.limits.head_bytes:
             self.violation = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
-        # At the end of a connection, curl also passes on part of a line.
-        if not self.has_head and line.endswith(LINE_END):
-            self._read_header(line)
+        try:
+            self.reader.read_line(line)
+        except response_reader.MalformedResponse as error:
+            self.violation = str(error)
+            return ABORT
+        if self.reader.head is not None and not self.has_head:
+            self._take_head(self.reader.head)
         return ABORT if self.violation else None
 
-    def _read_header(self, line: bytes) -> None:
-        text = line.decode('latin-1').rstrip('\r\n')
-        if text.startswith(STATUS_LINE_PREFIX) and not self.headers:
-            self._read_status(text)
-        elif text:
-            name, _, content = text.partition(':')
-            self.headers.append((name.strip(), content.strip()))
-        elif self.status < MIN_FINAL_STATUS:
-            # An interim response; the final one follows.
-            self.headers = []
-        else:
-            self.has_head = True
-            self.changed.set()
-
-    def _read_status(self, line: str) -> None:
-        status = status_line.parse_status(line)
-        if status is None:
-            self.violation = f'no status in {line[:MAX_QUOTED_CHARACTERS]!r}'
-        self.status = status or 0
+    def _take_head(self, head: response_reader.Head) -> None:
+        self.status = head.status
+        self.headers = list(head.headers)
+        self.has_head = True
+        self.changed.set()
 
-    def _on_content(self, content: bytes) -> int | None:
+    def _on_content(self, received: bytes) -> int | None:
         if len(self.content) > MAX_UNREAD_BYTES:
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        if self.body_bytes + len(content) > self.limits.body_bytes:
+        content = self.reader.read_body(received)
+        if self.reader.body_bytes > self.limits.body_bytes:
             self.violation = f'a body of over {self.limits.body_bytes} bytes'
             return ABORT
         self.content += content
-        self.body_bytes += len(content)
         self._record_held()
         self.changed.set()
         return ABORT if self.violation else None
@@ -288,7 +273,9 @@
         Without a length or chunks it ends with the connection, which an
         upstream in trouble also closes, and resets when more arrives.
         """
-        if self.has_framing or self._has_no_body():
+        if not self.reader.is_whole:
+            return Interrupted('the body does not end as its head says')
+        if self.has_framing:
             return Complete()
         if self.upload.is_received(sent_body_bytes):
             return Complete()
@@ -296,9 +283,6 @@
             'the response ended before the request', connection_lost=True
         )
 
-    def _has_no_body(self) -> bool:
-        return self.request.method == 'HEAD' or self.status in BODILESS_STATUSES
-
 
 def _cause_of(error_code: int) -> str:
     """Return the cause of a failure that curl doesn't describe."""
--- /dev/null
+++ b/cranberryrill/response_reader.py
@@ -0,0 +1,181 @@
+"""Read one HTTP response by the grammar of RFC 9110 and RFC 9112.
+
+curl ignores fields that it can't read, and without one that ends the body it
+takes the end of the connection for it. So each line of a head that it hands
+over is read here, too, and a head that HTTP doesn't know is no response. Of
+the heads that are left, curl delimits the body as they say.
+"""
+
+import dataclasses
+import enum
+import http
+import re
+
+from tornado import httputil
+
+from cranberryrill import status_line
+
+MIN_FINAL_STATUS = 200
+BODILESS_STATUSES = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+)
+LENGTH_HEADER = 'content-length'
+CODING_HEADER = 'transfer-encoding'
+CHUNKED = 'chunked'
+LENGTH = re.compile('[0-9]+')
+# curl counts in signed integers of 64 bits.
+MAX_LENGTH = 0x7FFFFFFFFFFFFFFF
+# The first version of HTTP that has transfer codings.
+VERSION_WITH_CODINGS = 'HTTP/1.1 '
+LINE_END = b'\n'
+MAX_QUOTED_CHARACTERS = 40
+
+
+class MalformedResponse(Exception):
+    """What an upstream sent is no HTTP response."""
+
+
+class Framing(enum.Enum):
+    """What ends the body of a response (RFC 9112, section 6.3)."""
+
+    no_body = 'no body'
+    length = 'length'
+    chunks = 'chunks'
+    connection_end = 'connection end'
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Head of a final response.
+
+    `length` is the length of the body in bytes, where the framing is one.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    framing: Framing
+    length: int = 0
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None; `name` in lower case."""
+        for header_name, content in self.headers:
+            if header_name.lower() == name:
+                return content
+        return None
+
+
+class ResponseReader:
+    """Reader of one response, which comes as lines and parts of a body.
+
+    `status` is that of the latest status line, 0 before the first. `head` is
+    None until the whole head of the final response was read.
+    """
+
+    def __init__(self, method: str) -> None:
+        self.method = method
+        self.status = 0
+        self.has_codings = False
+        self.fields = httputil.HTTPHeaders()
+        self.head: Head | None = None
+        self.body_bytes = 0
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the body ends here, if the connection does."""
+        if self.head is None:
+            return False
+        if self.head.framing is Framing.length:
+            return self.body_bytes == self.head.length
+        return True
+
+    def read_line(self, line: bytes) -> None:
+        """Read a line of a head; one that follows the final head is ignored.
+
+        Raises MalformedResponse.
+        """
+        # At the end of a connection, curl also hands over part of a line.
+        if self.head is not None or not line.endswith(LINE_END):
+            return
+        text = line.decode('latin-1').removesuffix('\n').removesuffix('\r')
+        if self.status == 0:
+            self._read_status(text)
+        elif text:
+            self._read_field(text)
+        elif self.status < MIN_FINAL_STATUS:
+            self._end_interim_head()
+        else:
+            self.head = self._final_head()
+
+    def read_body(self, received: bytes) -> bytes:
+        """Read a part of the body, and return its content."""
+        self.body_bytes += len(received)
+        return received
+
+    def _read_status(self, line: str) -> None:
+        status = status_line.parse_status(line)
+        if status is None:
+            raise MalformedResponse(f'no status in {_quoted(line)}')
+        # It answers an upgrade, which is never asked for.
+        if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            raise MalformedResponse('a switch to another protocol')
+        self.status = status
+        self.has_codings = line.startswith(VERSION_WITH_CODINGS)
+
+    def _read_field(self, line: str) -> None:
+        try:
+            self.fields.parse_line(line)
+        except httputil.HTTPInputError as error:
+            raise MalformedResponse(f'no field in {_quoted(line)}') from error
+
+    def _end_interim_head(self) -> None:
+        for name in (LENGTH_HEADER, CODING_HEADER):
+            if name in self.fields:
+                raise MalformedResponse(f'{name} in an interim response')
+        self.status = 0
+        self.fields = httputil.HTTPHeaders()
+
+    def _final_head(self) -> Head:
+        length = _body_length(self.fields.get_list(LENGTH_HEADER))
+        return Head(
+            self.status,
+            tuple(self.fields.get_all()),
+            self._framing(length),
+            length or 0,
+        )
+
+    def _framing(self, length: int | None) -> Framing:
+        codings = self.fields.get_list(CODING_HEADER)
+        if codings:
+            self._check_codings(codings, length)
+        if self.method == 'HEAD' or self.status in BODILESS_STATUSES:
+            return Framing.no_body
+        if codings:
+            return Framing.chunks
+        return Framing.connection_end if length is None else Framing.length
+
+    def _check_codings(self, codings: list[str], length: int | None) -> None:
+        """Accept chunks alone: curl asks for no other coding."""
+        if [coding.lower() for coding in codings] != [CHUNKED]:
+            raise MalformedResponse(f'transfer codings {_quoted(codings)}')
+        if length is not None:
+            raise MalformedResponse('a length beside chunks')
+        if not self.has_codings:
+            raise MalformedResponse('a transfer coding in HTTP/1.0')
+
+
+def _body_length(contents: list[str]) -> int | None:
+    """Return the length that all values of its header name; None without one.
+
+    A list of equal lengths is valid (RFC 9112, section 6.3).
+    """
+    if not contents:
+        return None
+    lengths = {length.strip(' \t') for length in ','.join(contents).split(',')}
+    text = lengths.pop()
+    if lengths or not LENGTH.fullmatch(text) or int(text) > MAX_LENGTH:
+        raise MalformedResponse(f'length {_quoted(contents)}')
+    return int(text)
+
+
+def _quoted(received: object) -> str:
+    return repr(received)[:MAX_QUOTED_CHARACTERS]
