Take no response from a malformed head at agents

A "not executed" counted as proof in a head that stopped midway or that was malformed: "not run" without a response.

Cause: a second lenient reader of lines, apart from the entry's.

Change: agents read with the entries' reader. `relay.response_head` only takes from a whole head what an agent needs, and a refusal is proved by a whole head. A malformed response says nothing of whether the request ran.

Sound heads pass as before; a body that ends with its connection is still no whole one at agents.

test_answers_without_end_are_bounded_together gave two lines in one call, which curl never does; the second is gone, so that its streams are streams again.

--- a/cranberryrill/relay/requested_absence.py
+++ b/cranberryrill/relay/requested_absence.py
@@ -24,7 +24,7 @@
         self.slots = slots
         self.avoidance = avoidance.Avoidance()
 
-    def record_head(self, head: response_head.HeadReader, now: float) -> None:
+    def record_head(self, head: response_head.ResponseHead, now: float) -> None:
         """Record what the head of a response asks for."""
         if head.says_leaving and self.avoidance.record_leaving(now):
             self._log('leaving', None)
--- a/cranberryrill/relay/response_head.py
+++ b/cranberryrill/relay/response_head.py
@@ -1,8 +1,8 @@
-"""Read the head of an upstream's response, line by line."""
+"""What an agent takes from the head of its upstream's response."""
 
-import http
+import dataclasses
 
-from cranberryrill import failures, status_line
+from cranberryrill import failures, response_reader
 from cranberryrill.relay import relay_pb2
 
 EVENT_STREAM = 'text/event-stream'
@@ -10,7 +10,6 @@
 NOT_EXECUTED_HEADER = 'x-not-executed'
 LEAVING_HEADER = 'x-upstream-leaving'
 LEAVING = '1'
-LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 RETURNED_HEADERS = frozenset(
     (
         'content-type',
@@ -23,70 +22,53 @@
 )
 
 
-class HeadReader:
-    """Head of the final response; interim ones are read and dropped."""
+@dataclasses.dataclass(frozen=True)
+class ResponseHead:
+    """Head of the final response.
 
-    def __init__(self) -> None:
-        self.status = 0
-        # Whether a status line has no status, so that this is no response.
-        self.lacks_status = False
-        # Whether the whole head of the final response was received.
-        self.is_complete = False
-        self.has_length = False
-        self.streams_events = False
-        # Whether the upstream says that it leaves.
-        self.says_leaving = False
-        # Whether the upstream says that it did not execute the request.
-        self.not_executed = False
-        # The `Retry-After` header; None without one.
-        self.retry_after: str | None = None
-        # Headers that are passed on to the caller.
-        self.returned: list[relay_pb2.Header] = []
+    `says_leaving` and `not_executed` are what the upstream says of itself and
+    of the request. `retry_after` is None without that header. `returned` holds
+    the headers that are passed on to the caller.
+    """
+
+    status: int
+    framing: response_reader.Framing
+    streams_events: bool
+    says_leaving: bool
+    not_executed: bool
+    retry_after: str | None
+    returned: tuple[relay_pb2.Header, ...]
 
     @property
     def is_refusal(self) -> bool:
         """Return whether it tells callers that the request did not run."""
         return self.not_executed or self.status in failures.NOT_RUN_STATUSES
 
-    def read(self, line: bytes) -> bool:
-        """Read a whole line; return whether it ends the final head.
 
-        A line that follows the final head belongs to a trailer.
-        """
-        text = line.decode('latin-1').strip()
-        if text.startswith('HTTP/'):
-            self._start(text)
-            return False
-        if text:
-            name, _, content = text.partition(':')
-            self._read_header(name, content.strip())
-            return False
-        was_complete = self.is_complete
-        self.is_complete = self.status >= http.HTTPStatus.OK
-        return self.is_complete and not was_complete
+# Stands for a head that wasn't read yet.
+NO_HEAD = ResponseHead(
+    status=0,
+    framing=response_reader.Framing.connection_end,
+    streams_events=False,
+    says_leaving=False,
+    not_executed=False,
+    retry_after=None,
+    returned=(),
+)
 
-    def _start(self, line: str) -> None:
-        status = status_line.parse_status(line)
-        self.lacks_status = status is None
-        self.status = status or 0
-        self.is_complete = False
-        self.has_length = False
-        self.says_leaving = False
-        self.not_executed = False
-        self.retry_after = None
-        self.returned = []
 
-    def _read_header(self, name: str, content: str) -> None:
-        lower = name.lower()
-        if lower == 'content-type':
-            self.streams_events = EVENT_STREAM in content
-        if lower in LENGTH_HEADERS:
-            self.has_length = True
-        if lower == LEAVING_HEADER:
-            self.says_leaving = content == LEAVING
-        if lower == NOT_EXECUTED_HEADER:
-            self.not_executed = True
-        if lower == 'retry-after':
-            self.retry_after = content
-        if lower in RETURNED_HEADERS:
-            self.returned.append(relay_pb2.Header(name=name, value=content))
+def from_response(head: response_reader.Head) -> ResponseHead:
+    """Return what the head of a response says to an agent."""
+    return ResponseHead(
+        status=head.status,
+        framing=head.framing,
+        streams_events=EVENT_STREAM in (head.header('content-type') or ''),
+        says_leaving=head.header(LEAVING_HEADER) == LEAVING,
+        not_executed=head.header(NOT_EXECUTED_HEADER) is not None,
+        retry_after=head.header('retry-after'),
+        returned=tuple(
+            relay_pb2.Header(name=name, value=content)
+            for name, content in head.headers
+            if name.lower() in RETURNED_HEADERS
+        ),
+    )
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -9,7 +9,7 @@
 import pycurl
 from tornado import httputil
 
-from cranberryrill import clock
+from cranberryrill import clock, failures, response_reader
 from cranberryrill.limits import buffer_budget
 from cranberryrill.relay import (
     answers,
@@ -27,7 +27,6 @@
 # Number of tokens after which the upstream resumes a preempted answer.
 RESUME_HEADER = 'X-Resume-From'
 EVENT_SEPARATOR = b'\n\n'
-LINE_END = b'\n'
 # Errors with which curl fails before it has sent anything. An unsupported
 # protocol is none of them: curl also reports it for an answer that is no HTTP.
 NOT_SENT_ERRORS = frozenset(
@@ -37,9 +36,6 @@
         pycurl.E_URL_MALFORMAT,
     )
 )
-BODILESS_STATUSES = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
-)
 KEEPALIVE_SECONDS = 1
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
@@ -70,8 +66,10 @@
         self.is_resumption = answer.head is not None
         self.partial_event = bytearray()
         self.head_bytes = 0
-        self.body_bytes = 0
-        self.head = response_head.HeadReader()
+        self.reader = response_reader.ResponseReader(call.method)
+        # Whether what the upstream sent is no HTTP response.
+        self.is_malformed = False
+        self.head = response_head.NO_HEAD
         # Called when the whole head of the final answer was received.
         self.on_head: abc.Callable[[], None] = do_nothing
         self.counter = token_counter.TokenCounter(answer.usage)
@@ -170,7 +168,7 @@
         """
         if self.answer.end is not None:
             return
-        if not self.head.is_complete:
+        if self.reader.head is None:
             self.fail(ConnectionError('the answer had no head'), now)
             return
         if not self._is_complete():
@@ -213,12 +211,17 @@
         if self.head_bytes > self.limits.head_bytes:
             self.abort_reason = f'a head of over {self.limits.head_bytes} bytes'
             return ABORT
-        # At the end of a connection, curl also passes on part of a line.
-        if line.endswith(LINE_END) and self.head.read(line):
+        try:
+            self.reader.read_line(line)
+        except response_reader.MalformedResponse as error:
+            self.is_malformed = True
+            self.abort_reason = str(error)
+            return ABORT
+        is_new = self.head is response_head.NO_HEAD
+        if is_new and self.reader.head is not None:
+            self.head = response_head.from_response(self.reader.head)
             self.on_head()
             self._check_refusal()
-        if self.head.lacks_status:
-            self.abort_reason = 'the answer has no status'
         return ABORT if self.abort_reason else None
 
     def _check_refusal(self) -> None:
@@ -232,7 +235,7 @@
                 f'status {self.head.status} {proof} proof of no execution'
             )
 
-    def on_content(self, content: bytes) -> int:
+    def on_content(self, received: bytes) -> int:
         """Handle a part of the body and return the number of bytes taken.
 
         0 or `ABORT` makes curl abort; `WRITEFUNC_PAUSE` makes it pause and pass
@@ -246,10 +249,10 @@
         if self._readers_lag():
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        size = len(content)
+        size = len(received)
         self.received_bytes += size
-        self.body_bytes += size
-        if self.body_bytes > self.limits.body_bytes:
+        content = self.reader.read_body(received)
+        if self.reader.body_bytes > self.limits.body_bytes:
             self.abort_reason = f'a body of over {self.limits.body_bytes} bytes'
         elif not self._resumption_failed():
             self._append(content)
@@ -307,21 +310,24 @@
             self.answer.start(self.head.status, self.head.returned)
 
     def _ran_state(self, error_number: int) -> relay_pb2.Ran:
-        if self.head.is_refusal and not self.is_resumption:
-            proved = self.head.not_executed
-            return relay_pb2.Ran.NO if proved else relay_pb2.Ran.UNKNOWN
-        if self.head.status >= http.HTTPStatus.OK:
+        if self.is_malformed:
+            return relay_pb2.Ran.UNKNOWN
+        status = self.reader.status
+        if not self.is_resumption:
+            if self.head.not_executed:
+                return relay_pb2.Ran.NO
+            if status in failures.NOT_RUN_STATUSES:
+                return relay_pb2.Ran.UNKNOWN
+        if status >= http.HTTPStatus.OK:
             return relay_pb2.Ran.YES
         if error_number in NOT_SENT_ERRORS:
             return relay_pb2.Ran.NO
         return relay_pb2.Ran.UNKNOWN
 
     def _is_complete(self) -> bool:
-        if self.head.has_length or self.counter.done:
-            return True
-        return (
-            self.head.status in BODILESS_STATUSES or self.call.method == 'HEAD'
-        )
+        if self.head.framing is response_reader.Framing.connection_end:
+            return self.counter.done
+        return self.reader.is_whole
 
     def _readers_lag(self) -> bool:
         return self.answer.unread_bytes() > answers.MAX_UNREAD_BYTES
--- a/tests/relay/test_requested_absence.py
+++ b/tests/relay/test_requested_absence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryrill import clock
+from cranberryrill import clock, response_reader
 from cranberryrill.relay import (
     answers,
     relay_pb2,
@@ -19,11 +19,12 @@
 NOW = 100.0
 
 
-def read_head(*lines: bytes) -> response_head.HeadReader:
-    head = response_head.HeadReader()
-    ends = [head.read(b'%s\r\n' % line) for line in (*lines, b'')]
-    assert ends.count(True) == 1
-    return head
+def read_head(*lines: bytes) -> response_head.ResponseHead:
+    reader = response_reader.ResponseReader('POST')
+    for line in (*lines, b''):
+        reader.read_line(b'%s\r\n' % line)
+    assert reader.head is not None
+    return response_head.from_response(reader.head)
 
 
 def make_absence() -> requested_absence.RequestedAbsence:
--- a/tests/relay/test_transfer.py
+++ b/tests/relay/test_transfer.py
@@ -133,7 +133,7 @@
             call, answer, asyncio.Event(), LIMITS, buffers, 0
         )
         endless.on_header(b'HTTP/1.1 200 OK\r\n')
-        endless.on_header(b'Content-Type: text/event-stream\r\n\r\n')
+        endless.on_header(b'Content-Type: text/event-stream\r\n')
         endless.on_header(b'\r\n')
         transfers.append(endless)
     for _ in range(10):
