Take no acknowledgement from a response that is not HTTP

A usage report or an order counted as accepted by the platform, and an order as passed to its engine, after a response that is none: `HTTP/1.1 2000` was read as 200, 600 and 999 were passed on as statuses, a status line or a cut-off head was enough, and so were lengths and codings that curl ignores.

Cause: tornado's curl client gives the number that curl reports, and curl calls a connection that closes within the head a success.

Change: `strict_fetch` reads the response with the reader of entries and agents, and returns a head only once head and body are whole. Otherwise the outcome is unknown, as after a lost connection, and the message is sent again under its key.

Names and values that are none failed before: tornado reads them strictly.

--- a/cranberryrill/authority/engine_orders.py
+++ b/cranberryrill/authority/engine_orders.py
@@ -10,6 +10,7 @@
 from grpclib import server
 from tornado import curl_httpclient, httpclient
 
+from cranberryrill import response_reader, strict_fetch
 from cranberryrill.authority import (
     authority_grpc,
     authority_pb2,
@@ -90,14 +91,17 @@
             request_timeout=timing.ENGINE_ORDER_TIMEOUT_SECONDS,
             follow_redirects=False,
             prepare_curl_callback=guard.prepare,
-            streaming_callback=platform_client.discard,
         )
         try:
-            answer = await self.client.fetch(request, raise_error=False)
-        except (httpclient.HTTPError, OSError) as error:
+            head = await strict_fetch.fetch(self.client, request)
+        except (
+            response_reader.MalformedResponse,
+            httpclient.HTTPError,
+            OSError,
+        ) as error:
             LOGGER.warning('order not answered', extra={'cause': str(error)})
             return self._failure_answer(guard)
-        return self._answer(Verdict.PASSED, answer.code)
+        return self._answer(Verdict.PASSED, head.status)
 
     def _failure_answer(
         self, guard: 'FencingGuard'
--- a/cranberryrill/authority/platform_client.py
+++ b/cranberryrill/authority/platform_client.py
@@ -13,7 +13,7 @@
 import result
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import clock
+from cranberryrill import clock, response_reader, strict_fetch
 from cranberryrill.authority import holder, timing
 
 LOGGER = logging.getLogger(__name__)
@@ -103,15 +103,16 @@
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=guard.prepare,
-            streaming_callback=discard,
         )
         try:
-            answer = await self.client.fetch(request, raise_error=False)
+            head = await strict_fetch.fetch(self.client, request)
+        except response_reader.MalformedResponse as error:
+            return result.Err(NoAnswer(str(error)))
         except (httpclient.HTTPError, OSError) as error:
             if not guard.sent:
                 return result.Err(NotInCharge())
             return result.Err(NoAnswer(str(error)))
-        return result.Ok(answer.code)
+        return result.Ok(head.status)
 
     def _headers(
         self,
@@ -155,10 +156,6 @@
         return int(pycurl.PREREQFUNC_OK)
 
 
-def discard(content: bytes) -> None:
-    """Drop a part of a body that is not needed, so that none is collected."""
-
-
 def disable_resending(curl: typing.Any) -> None:
     """Keep curl from sending a request twice by itself.
 
