Take no result of a command from a response that is not HTTP

A command printed a member's answer, and an error's code, from responses that are none: 11 of 61 malformed heads and the status 2000, where the body was JSON all the same. 000, 099, 600, 999 and 0200 failed before, as errors, and so did a head that stops midway, which has no JSON.

Change: the client of the administration API reads with `strict_fetch`; such a member counts as one that did not answer, and the next one is asked.

--- a/cranberryrill/commands/admin_client.py
+++ b/cranberryrill/commands/admin_client.py
@@ -10,7 +10,7 @@
 import result
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import clock
+from cranberryrill import clock, response_reader, strict_fetch
 
 # A change may wait for an election and then for every process's lease.
 ATTEMPT_TIMEOUT_SECONDS = 12.0
@@ -117,28 +117,35 @@
             follow_redirects=False,
             ca_certs=str(self.authority) if self.authority else None,
         )
+        received = bytearray()
         try:
-            response = await client.fetch(http_request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
+            head = await strict_fetch.fetch(
+                client, http_request, received.extend
+            )
+        except (
+            response_reader.MalformedResponse,
+            httpclient.HTTPError,
+            OSError,
+        ) as error:
             return result.Err(Unreachable(f'{member}: {error}'))
         finally:
             client.close()
-        return _parse_response(member, response)
+        return _parse_response(member, head.status, bytes(received))
 
 
-def _parse_response(member: str, response: httpclient.HTTPResponse) -> Response:
+def _parse_response(member: str, status: int, body: bytes) -> Response:
     try:
-        content = json.loads(response.body)
+        content = json.loads(body)
     except ValueError:
         return result.Err(
-            Unreachable(f'{member}: status {response.code} without JSON'),
+            Unreachable(f'{member}: status {status} without JSON'),
         )
-    if response.code == OK_STATUS:
+    if status == OK_STATUS:
         return result.Ok(content)
     error = content.get('error', {})
-    code = str(error.get('code', response.code))
+    code = str(error.get('code', status))
     message = str(error.get('message', ''))
-    if response.code >= MIN_SERVER_ERROR_STATUS:
+    if status >= MIN_SERVER_ERROR_STATUS:
         return result.Err(Unreachable(f'{member}: {code}: {message}'))
     return result.Err(Refused(code, message))
 
