Read the chunks of a body by their grammar

A chunk of the size `5x` counted as one of 5 bytes, and the body as whole; the same held of a blank, a control byte or a malformed extension after the size, of a last size `0x`, of lines that end without a carriage return, and of trailers with control bytes or with blanks in a name. `0x10` was the end of the body with a trailer `x10`, so that an empty stream ended as complete.

Cause: curl skips what follows the digits of a size up to the end of the line, and checks of a trailer only that it has a colon.

Change: curl hands chunks over as they were sent (HTTP_TRANSFER_DECODING 0) and still finds their end; the reader decodes them by RFC 9112, section 7.1. A body is whole only if both have found its end.

Sound chunks pass.

Weighed: h11 brings a reader of chunks, but one of heads besides, and needs the bytes of the head; httptools is compiled and would read heads a third time.

The agent's options of curl stand in a module of their own, for length.

--- a/cranberryrill/authority/engine_orders.py
+++ b/cranberryrill/authority/engine_orders.py
@@ -10,7 +10,7 @@
 from grpclib import server
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import response_reader, strict_fetch
+from cranberryrill import response_syntax, strict_fetch
 from cranberryrill.authority import (
     authority_grpc,
     authority_pb2,
@@ -95,7 +95,7 @@
         try:
             head = await strict_fetch.fetch(self.client, request)
         except (
-            response_reader.MalformedResponse,
+            response_syntax.MalformedResponse,
             httpclient.HTTPError,
             OSError,
         ) as error:
--- a/cranberryrill/authority/platform_client.py
+++ b/cranberryrill/authority/platform_client.py
@@ -13,7 +13,7 @@
 import result
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import clock, response_reader, strict_fetch
+from cranberryrill import clock, response_syntax, strict_fetch
 from cranberryrill.authority import holder, timing
 
 LOGGER = logging.getLogger(__name__)
@@ -106,7 +106,7 @@
         )
         try:
             head = await strict_fetch.fetch(self.client, request)
-        except response_reader.MalformedResponse as error:
+        except response_syntax.MalformedResponse as error:
             return result.Err(NoAnswer(str(error)))
         except (httpclient.HTTPError, OSError) as error:
             if not guard.sent:
--- a/cranberryrill/commands/admin_client.py
+++ b/cranberryrill/commands/admin_client.py
@@ -10,7 +10,7 @@
 import result
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import clock, response_reader, strict_fetch
+from cranberryrill import clock, response_syntax, strict_fetch
 
 # A change may wait for an election and then for every process's lease.
 ATTEMPT_TIMEOUT_SECONDS = 12.0
@@ -123,7 +123,7 @@
                 client, http_request, received.extend
             )
         except (
-            response_reader.MalformedResponse,
+            response_syntax.MalformedResponse,
             httpclient.HTTPError,
             OSError,
         ) as error:
--- a/cranberryrill/forwarding/exchange.py
+++ b/cranberryrill/forwarding/exchange.py
@@ -6,7 +6,7 @@
 
 import pycurl
 
-from cranberryrill import response_reader
+from cranberryrill import response_reader, response_syntax
 from cranberryrill.forwarding import curl_multi, upload, upstream_request
 from cranberryrill.limits import buffer_budget
 from cranberryrill.settings import response_limits
@@ -197,24 +197,30 @@
         curl = upstream_request.make_curl(self.request)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_content)
+        self.reader.prepare(curl)
         self.upload.watch(curl)
         return curl
 
     def _on_header(self, line: bytes) -> int | None:
-        # Trailers after the body count, too, but are not forwarded.
         self.head_bytes += len(line)
-        if self.head_bytes > self.limits.head_bytes:
-            self.violation = f'a head of over {self.limits.head_bytes} bytes'
+        self._check_head_size()
+        if self.violation:
             return ABORT
         try:
             self.reader.read_line(line)
-        except response_reader.MalformedResponse as error:
+        except response_syntax.MalformedResponse as error:
             self.violation = str(error)
             return ABORT
         if self.reader.head is not None and not self.has_head:
             self._take_head(self.reader.head)
         return ABORT if self.violation else None
 
+    def _check_head_size(self) -> None:
+        # Trailers after the body count, too, but are not forwarded.
+        size = self.head_bytes + self.reader.chunk_metadata_bytes
+        if size > self.limits.head_bytes:
+            self.violation = f'a head of over {self.limits.head_bytes} bytes'
+
     def _take_head(self, head: response_reader.Head) -> None:
         self.status = head.status
         self.headers = list(head.headers)
@@ -225,7 +231,12 @@
         if len(self.content) > MAX_UNREAD_BYTES:
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        content = self.reader.read_body(received)
+        try:
+            content = self.reader.read_body(received)
+        except response_syntax.MalformedResponse as error:
+            self.violation = str(error)
+            return ABORT
+        self._check_head_size()
         if self.reader.body_bytes > self.limits.body_bytes:
             self.violation = f'a body of over {self.limits.body_bytes} bytes'
             return ABORT
--- a/cranberryrill/relay/response_head.py
+++ b/cranberryrill/relay/response_head.py
@@ -1,10 +1,12 @@
 """What an agent takes from the head of its upstream's response."""
 
 import dataclasses
+import http
 
 from cranberryrill import failures, response_reader
 from cranberryrill.relay import relay_pb2
 
+CONTENT_TYPE = 'content-type'
 EVENT_STREAM = 'text/event-stream'
 # With this header an upstream says that it did not execute the request.
 NOT_EXECUTED_HEADER = 'x-not-executed'
@@ -12,7 +14,7 @@
 LEAVING = '1'
 RETURNED_HEADERS = frozenset(
     (
-        'content-type',
+        CONTENT_TYPE,
         'cache-control',
         'retry-after',
         'location',
@@ -44,6 +46,17 @@
         """Return whether it tells callers that the request did not run."""
         return self.not_executed or self.status in failures.NOT_RUN_STATUSES
 
+    def continues(self, begun: relay_pb2.Head) -> bool:
+        """Return whether the response may go on with one that has begun."""
+        began_events = any(
+            header.name.lower() == CONTENT_TYPE and EVENT_STREAM in header.value
+            for header in begun.headers
+        )
+        return (
+            self.status == http.HTTPStatus.OK
+            and self.streams_events == began_events
+        )
+
 
 # Stands for a head that wasn't read yet.
 NO_HEAD = ResponseHead(
@@ -62,7 +75,7 @@
     return ResponseHead(
         status=head.status,
         framing=head.framing,
-        streams_events=EVENT_STREAM in (head.header('content-type') or ''),
+        streams_events=EVENT_STREAM in (head.header(CONTENT_TYPE) or ''),
         says_leaving=head.header(LEAVING_HEADER) == LEAVING,
         not_executed=head.header(NOT_EXECUTED_HEADER) is not None,
         retry_after=head.header('retry-after'),
--- a/cranberryrill/relay/transfer.py
+++ b/cranberryrill/relay/transfer.py
@@ -9,10 +9,16 @@
 import pycurl
 from tornado import httputil
 
-from cranberryrill import clock, failures, response_reader
+from cranberryrill import (
+    clock,
+    failures,
+    response_reader,
+    response_syntax,
+)
 from cranberryrill.limits import buffer_budget
 from cranberryrill.relay import (
     answers,
+    curl_options,
     deadlines,
     relay_pb2,
     response_head,
@@ -36,7 +42,6 @@
         pycurl.E_URL_MALFORMAT,
     )
 )
-KEEPALIVE_SECONDS = 1
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
 
@@ -67,8 +72,7 @@
         self.partial_event = bytearray()
         self.head_bytes = 0
         self.reader = response_reader.ResponseReader(call.method)
-        # Whether what the upstream sent is no HTTP response.
-        self.is_malformed = False
+        self.has_malformed_head = False
         self.head = response_head.NO_HEAD
         # Called when the whole head of the final answer was received.
         self.on_head: abc.Callable[[], None] = do_nothing
@@ -100,26 +104,10 @@
         return headers
 
     def prepare(self, curl: typing.Any) -> None:
-        """Configure curl so that it never resends a request by itself.
-
-        libcurl resends a request whose reused connection was closed without
-        an answer, so each request has a connection of its own.
-        """
+        """Make curl send the request once and hand the answer over."""
         self.curl = curl
-        curl.setopt(pycurl.FRESH_CONNECT, 1)
-        curl.setopt(pycurl.FORBID_REUSE, 1)
-        curl.setopt(pycurl.FOLLOWLOCATION, 0)
-        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        curl.setopt(pycurl.PROXY, '')
-        curl.setopt(pycurl.NOPROXY, '*')
-        # The route was chosen by the path before any normalisation.
-        curl.setopt(pycurl.PATH_AS_IS, 1)
-        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
-        curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
-        curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
-        self._set_callbacks(curl)
-
-    def _set_callbacks(self, curl: typing.Any) -> None:
+        curl_options.send_once(curl)
+        self.reader.prepare(curl)
         curl.setopt(pycurl.HEADERFUNCTION, self.on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self.on_content)
         curl.setopt(pycurl.NOPROGRESS, 0)
@@ -208,13 +196,13 @@
         """
         self.received_bytes += len(line)
         self.head_bytes += len(line)
-        if self.head_bytes > self.limits.head_bytes:
-            self.abort_reason = f'a head of over {self.limits.head_bytes} bytes'
+        self._check_size()
+        if self.abort_reason:
             return ABORT
         try:
             self.reader.read_line(line)
-        except response_reader.MalformedResponse as error:
-            self.is_malformed = True
+        except response_syntax.MalformedResponse as error:
+            self.has_malformed_head = True
             self.abort_reason = str(error)
             return ABORT
         is_new = self.head is response_head.NO_HEAD
@@ -249,15 +237,27 @@
         if self._readers_lag():
             self.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        size = len(received)
-        self.received_bytes += size
-        content = self.reader.read_body(received)
-        if self.reader.body_bytes > self.limits.body_bytes:
-            self.abort_reason = f'a body of over {self.limits.body_bytes} bytes'
-        elif not self._resumption_failed():
+        self.received_bytes += len(received)
+        self._receive(received)
+        return ABORT if self.abort_reason else len(received)
+
+    def _receive(self, received: bytes) -> None:
+        try:
+            content = self.reader.read_body(received)
+        except response_syntax.MalformedResponse as error:
+            self.abort_reason = str(error)
+            return
+        self._check_size()
+        if content and not self.abort_reason and not self._resumption_failed():
             self._append(content)
-            self._record_held()
-        return ABORT if self.abort_reason else size
+
+    def _check_size(self) -> None:
+        limits = self.limits
+        head_bytes = self.head_bytes + self.reader.chunk_metadata_bytes
+        if head_bytes > limits.head_bytes:
+            self.abort_reason = f'a head of over {limits.head_bytes} bytes'
+        elif self.reader.body_bytes > limits.body_bytes:
+            self.abort_reason = f'a body of over {limits.body_bytes} bytes'
 
     def _append(self, content: bytes) -> None:
         self._start_answer()
@@ -267,6 +267,9 @@
             self._extend_by_whole_events(content)
         else:
             self.answer.extend(content)
+        if self.answer.end is None:
+            held_bytes = len(self.answer.content) + len(self.partial_event)
+            self.buffers.hold(self, held_bytes)
 
     def _extend_by_whole_events(self, content: bytes) -> None:
         # After a resumption the upstream sends an interrupted event again, so
@@ -283,20 +286,12 @@
         if len(self.partial_event) > limit:
             self.abort_reason = f'an event of over {limit} bytes'
 
-    def _record_held(self) -> None:
-        if self.answer.end is None:
-            held_bytes = len(self.answer.content) + len(self.partial_event)
-            self.buffers.hold(self, held_bytes)
-
     def _resumption_failed(self) -> bool:
         """Return whether the response can't go on with the answer."""
-        head = self.answer.head
-        if not self.is_resumption or head is None:
+        begun = self.answer.head
+        if not self.is_resumption or begun is None:
             return False
-        return (
-            self.head.status != http.HTTPStatus.OK
-            or self.head.streams_events != _streams_events(head)
-        )
+        return not self.head.continues(begun)
 
     def _stop_if_preempted(self) -> None:
         # An answer that is not streamed is generated before its body arrives,
@@ -310,7 +305,7 @@
             self.answer.start(self.head.status, self.head.returned)
 
     def _ran_state(self, error_number: int) -> relay_pb2.Ran:
-        if self.is_malformed:
+        if self.has_malformed_head:
             return relay_pb2.Ran.UNKNOWN
         status = self.reader.status
         if not self.is_resumption:
@@ -345,11 +340,3 @@
 
 def do_nothing() -> None:
     """Do nothing at the end of a head, until another callback is set."""
-
-
-def _streams_events(head: relay_pb2.Head) -> bool:
-    return any(
-        header.name.lower() == 'content-type'
-        and response_head.EVENT_STREAM in header.value
-        for header in head.headers
-    )
--- a/cranberryrill/response_reader.py
+++ b/cranberryrill/response_reader.py
@@ -10,10 +10,12 @@
 import enum
 import http
 import re
+import typing
 
+import pycurl
 from tornado import httputil
 
-from cranberryrill import status_line
+from cranberryrill import chunked_body, response_syntax, status_line
 
 MIN_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset(
@@ -28,11 +30,6 @@
 # The first version of HTTP that has transfer codings.
 VERSION_WITH_CODINGS = 'HTTP/1.1 '
 LINE_END = b'\n'
-MAX_QUOTED_CHARACTERS = 40
-
-
-class MalformedResponse(Exception):
-    """What an upstream sent is no HTTP response."""
 
 
 class Framing(enum.Enum):
@@ -77,6 +74,8 @@
         self.has_codings = False
         self.fields = httputil.HTTPHeaders()
         self.head: Head | None = None
+        self.chunks = chunked_body.ChunkDecoder()
+        # Bytes of the body's content.
         self.body_bytes = 0
 
     @property
@@ -86,8 +85,19 @@
             return False
         if self.head.framing is Framing.length:
             return self.body_bytes == self.head.length
+        if self.head.framing is Framing.chunks:
+            return self.chunks.is_complete
         return True
 
+    @property
+    def chunk_metadata_bytes(self) -> int:
+        """Return the size of the chunks' extensions and of the trailer."""
+        return self.chunks.metadata_bytes
+
+    def prepare(self, curl: typing.Any) -> None:
+        """Make curl hand over chunks as they were sent, to be read here."""
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+
     def read_line(self, line: bytes) -> None:
         """Read a line of a head; one that follows the final head is ignored.
 
@@ -100,37 +110,43 @@
         if self.status == 0:
             self._read_status(text)
         elif text:
-            self._read_field(text)
+            response_syntax.read_field(self.fields, text)
         elif self.status < MIN_FINAL_STATUS:
             self._end_interim_head()
         else:
             self.head = self._final_head()
 
     def read_body(self, received: bytes) -> bytes:
-        """Read a part of the body, and return its content."""
-        self.body_bytes += len(received)
-        return received
+        """Read a part of the body, and return its content.
+
+        Raises MalformedResponse.
+        """
+        content = received
+        if self.head is not None and self.head.framing is Framing.chunks:
+            content = self.chunks.decode(received)
+        self.body_bytes += len(content)
+        return content
 
     def _read_status(self, line: str) -> None:
         status = status_line.parse_status(line)
         if status is None:
-            raise MalformedResponse(f'no status in {_quoted(line)}')
+            raise response_syntax.MalformedResponse(
+                f'no status in {response_syntax.quoted(line)}'
+            )
         # It answers an upgrade, which is never asked for.
         if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
-            raise MalformedResponse('a switch to another protocol')
+            raise response_syntax.MalformedResponse(
+                'a switch to another protocol'
+            )
         self.status = status
         self.has_codings = line.startswith(VERSION_WITH_CODINGS)
 
-    def _read_field(self, line: str) -> None:
-        try:
-            self.fields.parse_line(line)
-        except httputil.HTTPInputError as error:
-            raise MalformedResponse(f'no field in {_quoted(line)}') from error
-
     def _end_interim_head(self) -> None:
         for name in (LENGTH_HEADER, CODING_HEADER):
             if name in self.fields:
-                raise MalformedResponse(f'{name} in an interim response')
+                raise response_syntax.MalformedResponse(
+                    f'{name} in an interim response'
+                )
         self.status = 0
         self.fields = httputil.HTTPHeaders()
 
@@ -156,11 +172,15 @@
     def _check_codings(self, codings: list[str], length: int | None) -> None:
         """Accept chunks alone: curl asks for no other coding."""
         if [coding.lower() for coding in codings] != [CHUNKED]:
-            raise MalformedResponse(f'transfer codings {_quoted(codings)}')
+            raise response_syntax.MalformedResponse(
+                f'transfer codings {response_syntax.quoted(codings)}'
+            )
         if length is not None:
-            raise MalformedResponse('a length beside chunks')
+            raise response_syntax.MalformedResponse('a length beside chunks')
         if not self.has_codings:
-            raise MalformedResponse('a transfer coding in HTTP/1.0')
+            raise response_syntax.MalformedResponse(
+                'a transfer coding in HTTP/1.0'
+            )
 
 
 def _body_length(contents: list[str]) -> int | None:
@@ -173,9 +193,7 @@
     lengths = {length.strip(' \t') for length in ','.join(contents).split(',')}
     text = lengths.pop()
     if lengths or not LENGTH.fullmatch(text) or int(text) > MAX_LENGTH:
-        raise MalformedResponse(f'length {_quoted(contents)}')
+        raise response_syntax.MalformedResponse(
+            f'length {response_syntax.quoted(contents)}'
+        )
     return int(text)
-
-
-def _quoted(received: object) -> str:
-    return repr(received)[:MAX_QUOTED_CHARACTERS]
--- a/cranberryrill/strict_fetch.py
+++ b/cranberryrill/strict_fetch.py
@@ -10,7 +10,7 @@
 import pycurl
 from tornado import curl_httpclient, httpclient
 
-from cranberryrill import response_reader
+from cranberryrill import response_reader, response_syntax
 
 # Returned to curl in place of the number of bytes taken, it ends the transfer.
 ABORT = -1
@@ -55,7 +55,7 @@
         self.prepare_request = request.prepare_curl_callback
         self.on_content = on_content
         self.reader = response_reader.ResponseReader(request.method)
-        self.failure: response_reader.MalformedResponse | None = None
+        self.failure: response_syntax.MalformedResponse | None = None
 
     def prepare(self, curl: typing.Any) -> None:
         """Make curl hand the response to this reader."""
@@ -63,13 +63,14 @@
             self.prepare_request(curl)
         curl.setopt(pycurl.HEADERFUNCTION, self._read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._read_body)
+        self.reader.prepare(curl)
 
     def whole_head(self) -> response_reader.Head:
         """Return the head, unless a part of the response is missing."""
         if self.reader.head is None:
-            raise response_reader.MalformedResponse('the response had no head')
+            raise response_syntax.MalformedResponse('the response had no head')
         if not self.reader.is_whole:
-            raise response_reader.MalformedResponse(
+            raise response_syntax.MalformedResponse(
                 'the body does not end as its head says'
             )
         return self.reader.head
@@ -77,16 +78,23 @@
     def _read_line(self, line: bytes) -> int | None:
         try:
             self.reader.read_line(line)
-        except response_reader.MalformedResponse as error:
+        except response_syntax.MalformedResponse as error:
             self.failure = error
             return ABORT
         return None
 
     def _read_body(self, received: bytes) -> int | None:
-        self.on_content(self.reader.read_body(received))
+        try:
+            self.on_content(self._bounded_content(received))
+        except response_syntax.MalformedResponse as error:
+            self.failure = error
+            return ABORT
+        return None
+
+    def _bounded_content(self, received: bytes) -> bytes:
+        content = self.reader.read_body(received)
         if self.reader.body_bytes > MAX_BODY_BYTES:
-            self.failure = response_reader.MalformedResponse(
+            raise response_syntax.MalformedResponse(
                 f'a body of over {MAX_BODY_BYTES} bytes'
             )
-            return ABORT
-        return None
+        return content
