Bound the digits of a length, and read a chunk's size once it is whole

A length of thousands of digits raised ValueError instead of MalformedResponse, within curl's callback: the attempt failed, but with a traceback on standard error and without a cause. Found when the change was read again; the case is one of tests/response_cases.py and failed in tests/test_response_reader.py.

The line of a chunk's size was matched again with each piece of it that arrived.

--- a/cranberryrill/chunked_body.py
+++ b/cranberryrill/chunked_body.py
@@ -24,7 +24,7 @@
     TOKEN,
     QUOTED_STRING,
 )
-SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,16})((?:%s)*)\r\n' % EXTENSION)
+SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,16})((?:%s)*)' % EXTENSION)
 SIZE_BASE = 16
 
 
@@ -90,17 +90,17 @@
     def _decode_size(
         self, encoded: bytes, start: int, decoded: list[bytes]
     ) -> int:
-        match = SIZE_LINE.match(encoded, start)
+        line = _line_at(encoded, start)
+        if line is None:
+            return start
+        match = SIZE_LINE.fullmatch(line)
         if match is None:
-            line = _line_at(encoded, start)
-            if line is None:
-                return start
             raise response_syntax.MalformedResponse(
                 f'no size of a chunk in {response_syntax.quoted(line)}'
             )
         size = int(match.group(1), SIZE_BASE)
         self.metadata_bytes += len(match.group(2))
-        content_start = match.end()
+        content_start = start + len(line) + len(LINE_END)
         content_end = content_start + size
         chunk_end = content_end + len(LINE_END)
         # Mostly, the rest of a chunk was received with its size.
--- a/cranberryrill/response_reader.py
+++ b/cranberryrill/response_reader.py
@@ -24,7 +24,8 @@
 LENGTH_HEADER = 'content-length'
 CODING_HEADER = 'transfer-encoding'
 CHUNKED = 'chunked'
-LENGTH = re.compile('[0-9]+')
+# Bounded, as Python converts no integers of thousands of digits.
+LENGTH = re.compile('[0-9]{1,20}')
 # curl counts in signed integers of 64 bits.
 MAX_LENGTH = 0x7FFFFFFFFFFFFFFF
 # The first version of HTTP that has transfer codings.
--- a/tests/response_cases.py
+++ b/tests/response_cases.py
@@ -44,6 +44,9 @@
     # A length that is none.
     'length beyond 64 bits': _fields(b'Content-Length: 99999999999999999999'),
     'length of 64 bits': _fields(b'Content-Length: 9223372036854775808'),
+    'length of thousands of digits': _fields(
+        b'Content-Length: %s' % (b'9' * 5000)
+    ),
     'length with a unit': _fields(b'Content-Length: 16x'),
     'signed length': _fields(b'Content-Length: +16'),
     'negative length': _fields(b'Content-Length: -1'),
