--- a/cranberryrill/chunked_body.py
+++ b/cranberryrill/chunked_body.py
@@ -1,7 +1,7 @@
 """Decode a body in chunks by the grammar of RFC 9112, section 7.1.
 
-curl skips what follows the digits of a size, so that it takes a malformed one
-for a smaller one.
+curl ignores whatever follows the digits of a size, so that it accepts malformed
+sizes.
 """
 
 import enum
--- a/cranberryrill/forwarding/upload.py
+++ b/cranberryrill/forwarding/upload.py
@@ -11,8 +11,8 @@
 import pycurl
 
 LOGGER = logging.getLogger(__name__)
-# State of a connection in `tcp_info` (linux/tcp.h) that has ended. One whose
-# peer has closed it is in another state until it is closed here, too.
+# State in `tcp_info` (linux/tcp.h) of a connection that was reset, before its
+# socket is closed; an orderly end by the peer leads to CLOSE_WAIT.
 TCP_CLOSE = 7
 
 
--- a/cranberryrill/response_reader.py
+++ b/cranberryrill/response_reader.py
@@ -1,9 +1,9 @@
 """Read one HTTP response by the grammar of RFC 9110 and RFC 9112.
 
-curl ignores fields that it can't read, and without one that ends the body it
-takes the end of the connection for it. So each line of a head that it hands
-over is read here, too, and a head that HTTP doesn't know is no response. Of
-the heads that are left, curl delimits the body as they say.
+curl ignores fields that it can't read. Without a length or chunks, the body
+then seems to end with the connection. So each line that curl hands over is read
+here, too, and malformed heads are rejected. With the heads that are accepted,
+curl and this reader agree on where the body ends.
 """
 
 import dataclasses
@@ -46,7 +46,7 @@
 class Head:
     """Head of a final response.
 
-    `length` is the length of the body in bytes, where the framing is one.
+    `length` is that of the body in bytes, with the framing `length`.
     """
 
     status: int
@@ -81,7 +81,11 @@
 
     @property
     def is_whole(self) -> bool:
-        """Return whether the body ends here, if the connection does."""
+        """Return whether nothing of the response is missing.
+
+        If its framing is the end of the connection, that can't be told from
+        what was received.
+        """
         if self.head is None:
             return False
         if self.head.framing is Framing.length:
@@ -134,7 +138,7 @@
             raise response_syntax.MalformedResponse(
                 f'no status in {response_syntax.quoted(line)}'
             )
-        # It answers an upgrade, which is never asked for.
+        # Only valid after a request for an upgrade, and none is sent.
         if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
             raise response_syntax.MalformedResponse(
                 'a switch to another protocol'
@@ -185,9 +189,9 @@
 
 
 def _body_length(contents: list[str]) -> int | None:
-    """Return the length that all values of its header name; None without one.
+    """Return the length in the values of its header; None without any.
 
-    A list of equal lengths is valid (RFC 9112, section 6.3).
+    Several values are valid if they are equal (RFC 9112, section 6.3).
     """
     if not contents:
         return None
--- a/cranberryrill/response_syntax.py
+++ b/cranberryrill/response_syntax.py
@@ -6,7 +6,7 @@
 
 
 class MalformedResponse(Exception):
-    """What an upstream sent is no HTTP response."""
+    """What was received is not an HTTP response."""
 
 
 def read_field(fields: httputil.HTTPHeaders, line: str) -> None:
@@ -15,7 +15,7 @@
     The line comes without its end. Raises MalformedResponse unless name and
     value are as in RFC 9110.
     """
-    # tornado ignores one at the end.
+    # tornado accepts a line feed at the end.
     if '\n' in line:
         raise MalformedResponse(f'a line feed in {quoted(line)}')
     try:
--- a/cranberryrill/status_line.py
+++ b/cranberryrill/status_line.py
@@ -9,7 +9,7 @@
 
 
 def parse_status(line: str) -> int | None:
-    """Return the status, from 100 to 599; None if the line is none.
+    """Return the status, from 100 to 599; None for a malformed line.
 
     The line comes without its end, decoded as latin-1.
     """
--- a/cranberryrill/strict_fetch.py
+++ b/cranberryrill/strict_fetch.py
@@ -1,7 +1,6 @@
-"""Fetch with tornado's curl client, and take HTTP responses alone.
+"""Fetch with tornado's curl client, and reject malformed responses.
 
-tornado reads the status that curl reports, which may be none, and takes a head
-that stops midway for a whole one.
+tornado passes on any number as a status, and accepts a truncated head.
 """
 
 import typing
--- a/tests/forwarding/test_malformed_responses.py
+++ b/tests/forwarding/test_malformed_responses.py
@@ -25,7 +25,7 @@
 async def test_malformed_head_is_no_answer(
     case: response_cases.Case, streams: bool
 ) -> None:
-    # Guards against the end of the connection as the end of the body.
+    # Guards against a body that seems to end with the connection.
     answer = event_stream(case) if streams else case.response(IDENTITY)
     _, caller_reply, upstreams = await broken.deliver(
         answer, broken.PLAIN, streams=streams, repeatable=False
@@ -33,7 +33,7 @@
     assert not caller_reply.started
     assert isinstance(caller_reply.refusal, failures.UpstreamFailed)
     assert caller_reply.refusal.ran is failures.Ran.unknown
-    # It may have run, so that it isn't sent again.
+    # The request may have run, so it is not sent again.
     assert upstreams[1].requests == 0
 
 
@@ -49,7 +49,7 @@
     case: response_cases.Case, streams: bool
 ) -> None:
     answer = event_stream(case) if streams else case.response(IDENTITY)
-    ended, caller_reply, upstreams = await broken.deliver(
+    _, caller_reply, upstreams = await broken.deliver(
         answer, broken.PLAIN, streams=streams, repeatable=False
     )
     assert not caller_reply.finished
--- a/tests/response_cases.py
+++ b/tests/response_cases.py
@@ -41,7 +41,7 @@
 
 
 MALFORMED_HEADS = {
-    # A length that is none.
+    # Invalid lengths.
     'length beyond 64 bits': _fields(b'Content-Length: 99999999999999999999'),
     'length of 64 bits': _fields(b'Content-Length: 9223372036854775808'),
     'length of thousands of digits': _fields(
@@ -58,7 +58,7 @@
     'two lengths': _fields(b'Content-Length: 16', b'Content-Length: 15'),
     'list of two lengths': _fields(b'Content-Length: 16, 15'),
     'list with an empty length': _fields(b'Content-Length: 16,'),
-    # A name that is none.
+    # Invalid names.
     'blank after length': _fields(b'Content-Length : 16'),
     'tab after length': _fields(b'Content-Length\t: 16'),
     'blank in length': _fields(b'Content Length: 16'),
@@ -75,7 +75,7 @@
     ),
     'blank in a name': _fields(b'X Odd: 1', b'Content-Length: 16'),
     'control byte in a name': _fields(b'X-\x01Odd: 1', b'Content-Length: 16'),
-    # A line that is no field.
+    # Lines that are no fields.
     'no name': _fields(b': 16', b'Content-Length: 16'),
     'no colon': _fields(b'Content-Length 16'),
     'no colon in another line': _fields(b'Odd', b'Content-Length: 16'),
@@ -87,7 +87,7 @@
     'blank before chunks': _case(
         OK, b' Transfer-Encoding: chunked\r\n', body=CHUNKED_BODY
     ),
-    # A value that is none.
+    # Invalid values.
     'control byte in a value': _fields(b'X-Odd: a\x01b', b'Content-Length: 16'),
     'delete byte in a value': _fields(b'X-Odd: a\x7f', b'Content-Length: 16'),
     'vertical tab in a value': _fields(b'X-Odd: \x0ba', b'Content-Length: 16'),
@@ -95,7 +95,7 @@
     'carriage return in a value': _fields(
         b'X-Odd: a\rb', b'Content-Length: 16'
     ),
-    # A transfer coding that doesn't tell where the body ends.
+    # Transfer codings that leave the end of the body open.
     'identity': _fields(b'Transfer-Encoding: identity'),
     'no coding': _fields(b'Transfer-Encoding:'),
     'another coding': _fields(b'Transfer-Encoding: gzip'),
@@ -115,7 +115,7 @@
     'chunks in HTTP/1.0': _case(
         b'HTTP/1.0 200 OK\r\n', CHUNKED, body=CHUNKED_BODY
     ),
-    # A status line that is none.
+    # Invalid status lines.
     'control byte in the reason': _case(b'HTTP/1.1 200 O\x01K\r\n', LENGTH),
     'two blanks before the status': _case(b'HTTP/1.1  200 OK\r\n', LENGTH),
     'another version': _case(b'HTTP/2 200 OK\r\n', LENGTH),
@@ -123,7 +123,7 @@
     'fields before the status line': _case(LENGTH, OK, LENGTH),
     'empty line before the status line': _case(b'\r\n', OK, LENGTH),
     'two status lines': _case(OK, OK, LENGTH),
-    # An interim head that is none.
+    # Invalid interim heads.
     'blank before an interim line': _case(
         b'HTTP/1.1 103 Hints\r\n Link: x\r\n\r\n', OK, LENGTH
     ),
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -1,4 +1,4 @@
-"""The reader takes what HTTP knows, and curl delimits bodies as it reads."""
+"""Malformed heads are rejected; curl and the reader agree on bodies."""
 
 import contextlib
 import io
