--- a/review/lib3/system.py
+++ b/review/lib3/system.py
@@ -315,7 +315,7 @@
     return await reader.readexactly(int(headers.get('content-length', 0)))
 
 
-async def call(address, method, path, body=b'', seconds=1.0):
+async def call(address, method, path, body=b'', seconds=1.0, named=''):
     """Send one request on a new connection; the status is 0 if it fails."""
     host, _, port = address.rpartition(':')
     writer = None
@@ -323,7 +323,7 @@
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(host, int(port))
             head = (
-                f'{method} {path} HTTP/1.1\r\nHost: {address}\r\n'
+                f'{method} {path} HTTP/1.1\r\nHost: {named or address}\r\n'
                 'Content-Type: application/json\r\n'
                 f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
             )
