Show that two routes in one place are acknowledged if hosts differ in case

Seen: a configuration with two routes of one host and prefix, the host of one in capitals, gets 200; all orders of the first route are then run by the service of the second.

Code at fault: traffic/validation._route_paths compares hosts as written, while route_table.RouteTable indexes them in lower case, last one wins.

--- a/review/lib3/system.py
+++ b/review/lib3/system.py
@@ -315,7 +315,9 @@
     return await reader.readexactly(int(headers.get('content-length', 0)))
 
 
-async def call(address, method, path, body=b'', seconds=1.0, named=''):
+async def call(
+    address, method, path, body=b'', seconds=1.0, named='', fields=None
+):
     """Send one request on a new connection; the status is 0 if it fails."""
     host, _, port = address.rpartition(':')
     writer = None
@@ -325,9 +327,11 @@
             head = (
                 f'{method} {path} HTTP/1.1\r\nHost: {named or address}\r\n'
                 'Content-Type: application/json\r\n'
-                f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+                f'Content-Length: {len(body)}\r\nConnection: close\r\n'
             )
-            writer.write(head.encode() + body)
+            for name, content in (fields or {}).items():
+                head += f'{name}: {content}\r\n'
+            writer.write(f'{head}\r\n'.encode() + body)
             first, headers = await read_head(reader)
             status = int(first.split()[1])
             return status, headers, await read_body(reader, headers)
