--- a/review/lib3/system.py
+++ b/review/lib3/system.py
@@ -365,6 +365,7 @@
         self.arrived = []
         self.server = None
         self.task = None
+        self.writers = set()
 
     async def start(self):
         """Listen, and begin to send heartbeats."""
@@ -412,6 +413,7 @@
 
     async def serve(self, reader, writer):
         """Serve the requests of one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -421,6 +423,7 @@
         except (OSError, EOFError, asyncio.CancelledError):
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def head(self, status, headers, length, extra=''):
