--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,7 +12,7 @@
 
 import system  # noqa: E402
 
-REPLICAS = 6
+REPLICAS = 7
 CLIENTS = 6
 DRAIN_SECONDS = 2.0
 DOWN_SECONDS = 1.0
