Refuse two routes in one place however their hosts are written

Cause: validation compared hosts as written, RouteTable in lower case, where the last route replaces the others. A host with a port or a final dot was valid, too, and found by no request; names that only Unicode folds to one were one place for routing. In the own format, /a and /a/ cover the same paths and were both valid.

Ruled out: that the check is skipped. Two routes with one spelling have a fault.

Change: traffic/places.py gives one key of host and prefix to both. A host is compared without port and final dot, and case is ignored in ASCII letters only. Documents that an earlier version stored load as before, with the same route chosen. A member refuses an invalid configuration once it is known to be current, and answers 503 before.

--- a/cranberryrill/administration/configuration_handlers.py
+++ b/cranberryrill/administration/configuration_handlers.py
@@ -39,7 +39,7 @@
             'document',
         )
         if isinstance(checked, result.Err):
-            self.refuse(refusals.InvalidConfiguration(str(checked.err_value)))
+            await self._refuse_unless_known(request, str(checked.err_value))
             return
         failure = await self._wait_for_revision(request.base_revision)
         if failure is not None:
@@ -52,6 +52,24 @@
             await self.operations.commit_change(command), request.wait
         )
 
+    async def _refuse_unless_known(
+        self, request: requests.ApplyRequest, faults: str
+    ) -> None:
+        """Refuse an invalid document, or answer a repeated change.
+
+        An earlier version of this program may have accepted the change.
+        """
+        if not await self.require_current():
+            return
+        operations = self.operations
+        known = operations.state.find_outcome(
+            request.change_id, _request_digest(request)
+        )
+        if known is None:
+            self.refuse(refusals.InvalidConfiguration(faults))
+            return
+        await self.answer_change(operations.result_of(known), request.wait)
+
     async def _wait_for_revision(
         self, revision: int
     ) -> failures.Failure | None:
@@ -78,18 +96,21 @@
         request: requests.ApplyRequest,
         new_document: document.Document,
     ) -> commands_pb2.ApplyConfiguration:
-        digest = hashlib.sha256(
-            f'{request.base_revision}\n{request.document}'.encode(),
-        ).digest()
         return commands_pb2.ApplyConfiguration(
             change_id=request.change_id,
             base_revision=request.base_revision,
             changes=self.operations.state.changes_to(new_document),
             operator=request.operator,
-            request_digest=digest,
+            request_digest=_request_digest(request),
         )
 
 
+def _request_digest(request: requests.ApplyRequest) -> bytes:
+    return hashlib.sha256(
+        f'{request.base_revision}\n{request.document}'.encode(),
+    ).digest()
+
+
 class HistoryHandler(base_handler.AdministrationHandler):
     """Handler of `/admin/v1/configuration/history`."""
 
--- a/cranberryrill/administration/operations.py
+++ b/cranberryrill/administration/operations.py
@@ -66,7 +66,14 @@
                     retry_after_seconds=1,
                 ),
             )
-        outcome = commands_pb2.ChangeOutcome.FromString(proposed.ok_value)
+        return self.result_of(
+            commands_pb2.ChangeOutcome.FromString(proposed.ok_value)
+        )
+
+    def result_of(
+        self, outcome: commands_pb2.ChangeOutcome
+    ) -> result.Result[int, failures.Failure]:
+        """Return the revision that a change made, or its failure."""
         if outcome.verdict == Verdict.ACCEPTED:
             return result.Ok(outcome.revision)
         failure_type = VERDICT_FAILURES[outcome.verdict]
--- a/cranberryrill/configuration/active.py
+++ b/cranberryrill/configuration/active.py
@@ -125,5 +125,10 @@
 
     Whole path segments are compared: `/a` covers `/a/b`, but not `/ab`.
     """
-    trimmed = prefix.rstrip('/')
+    trimmed = normalise_prefix(prefix)
     return path == trimmed or path.startswith(f'{trimmed}/')
+
+
+def normalise_prefix(prefix: str) -> str:
+    """Return the prefix of a route for comparison with others and paths."""
+    return prefix.rstrip('/')
--- a/cranberryrill/configuration/validation.py
+++ b/cranberryrill/configuration/validation.py
@@ -1,14 +1,14 @@
 """Parse a configuration document and check it as a whole.
 
-Names must be unique within a kind, and each reference must name a configured
-object.
+Names must be unique within a kind, as must the path prefixes of routes. Each
+reference must name a configured object.
 """
 
 from collections import abc
 
 import result
 
-from cranberryrill.configuration import document
+from cranberryrill.configuration import active, document
 from cranberryrill.settings import loader
 
 
@@ -37,6 +37,7 @@
     }
     for checked_kind in document.KINDS:
         yield from _duplicate_names(checked_kind, content)
+    yield from _duplicate_prefixes(content)
     targets = names['models'] | {route.service for route in content.routes}
     for path, reference, configured in _references(content, names, targets):
         if reference not in configured:
@@ -61,6 +62,19 @@
         seen.add(known.name)
 
 
+def _duplicate_prefixes(
+    content: document.Document,
+) -> abc.Iterator[loader.Fault]:
+    seen: set[str] = set()
+    for position, route in enumerate(content.routes):
+        prefix = active.normalise_prefix(route.path_prefix)
+        if prefix in seen:
+            path = f'routes.{position}.path_prefix'
+            message = f'{route.path_prefix!r} covers the paths of another route'
+            yield loader.Fault(path, 0, message)
+        seen.add(prefix)
+
+
 def _references(
     content: document.Document,
     names: dict[str, set[str]],
--- a/cranberryrill/traffic/publisher.py
+++ b/cranberryrill/traffic/publisher.py
@@ -83,9 +83,26 @@
     ) -> result.Result[document.Document, failures.NotServing]:
         """Return a document at least as new as any accepted by `requested_at`.
 
-        Waits until the local state is known to be that new. Times are monotonic
-        seconds.
+        Times are monotonic seconds.
         """
+        current = await self._wait_until_current(requested_at)
+        return current.map(lambda _: self.state.configuration.traffic)
+
+    async def find_accepted(
+        self, source: bytes, requested_at: float
+    ) -> result.Result[int | None, failures.NotServing]:
+        """Return the version of a document that was accepted, or None.
+
+        `source` is the text of one that is invalid. An earlier version of this
+        program may have accepted it, and its repeat must not be refused.
+        """
+        current = await self._wait_until_current(requested_at)
+        return current.map(lambda _: self.state.accepted_version(source))
+
+    async def _wait_until_current(
+        self, requested_at: float
+    ) -> result.Result[None, failures.NotServing]:
+        """Wait until the local state is as new as any at `requested_at`."""
         deadline = requested_at + ANSWER_TIMEOUT_SECONDS
         while self.member.freshness.as_of < requested_at:
             if clock.monotonic_seconds() >= deadline:
@@ -93,7 +110,7 @@
                     failures.NotServing('which version is newest is unknown'),
                 )
             await asyncio.sleep(FRESHNESS_POLL_SECONDS)
-        return result.Ok(self.state.configuration.traffic)
+        return result.Ok(None)
 
 
 def _command_for(new_document: document.Document) -> bytes:
--- a/cranberryrill/traffic/route_table.py
+++ b/cranberryrill/traffic/route_table.py
@@ -1,8 +1,9 @@
 """Lookup of the route of a request and the organisation of its key."""
 
 import hashlib
+from collections import abc as collection_types
 
-from cranberryrill.traffic import document
+from cranberryrill.traffic import document, places
 
 
 class RouteTable:
@@ -12,9 +13,10 @@
         self.document = indexed
         self.services = {known.name: known for known in indexed.services}
         self.by_host: dict[str, dict[str, document.Route]] = {}
-        for route in indexed.routes:
-            prefixes = self.by_host.setdefault(route.host.lower(), {})
-            prefixes[route.path_prefix] = route
+        for route in _by_precedence(indexed.routes):
+            place = places.place_of(route)
+            prefixes = self.by_host.setdefault(place.host, {})
+            prefixes[place.path_prefix] = route
         self.by_digest = {
             digest: organisation
             for organisation in indexed.organisations
@@ -26,7 +28,7 @@
 
         The host is matched without its port and regardless of case.
         """
-        prefixes = self.by_host.get(_host_name(host))
+        prefixes = self.by_host.get(places.normalise_host(host))
         if prefixes is None:
             return None
         end = path.rfind('/')
@@ -64,6 +66,17 @@
     return shares[-1].service
 
 
-def _host_name(host: str) -> str:
-    name, colon, port = host.rpartition(':')
-    return (name if colon and port.isdecimal() else host).lower()
+def _by_precedence(
+    routes: collection_types.Iterable[document.Route],
+) -> list[document.Route]:
+    """Return the routes so that the last one in a place is the one to use.
+
+    Earlier versions stored documents with several routes in one place. They
+    used the last of those whose host has neither a port nor a final dot.
+    """
+    return sorted(
+        routes,
+        key=lambda route: (
+            places.normalise_host(route.host) == route.host.lower()
+        ),
+    )
--- a/cranberryrill/traffic/validation.py
+++ b/cranberryrill/traffic/validation.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections import abc as collection_types
 
-from cranberryrill.traffic import document
+from cranberryrill.traffic import document, places
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,8 +32,8 @@
 
 def find_faults(checked: document.Document) -> tuple[Fault, ...]:
     """Return every fault in a decoded document; empty for a valid one."""
-    names = {
-        'routes': _route_paths(checked),
+    names: dict[str, list[collection_types.Hashable]] = {
+        'routes': [places.place_of(route) for route in checked.routes],
         'services': [known.name for known in checked.services],
         'organisations': [known.name for known in checked.organisations],
         'keys': _key_digests(checked),
@@ -51,11 +51,9 @@
         yield Fault('version', 'must be a whole number above 0')
 
 
-def _route_paths(checked: document.Document) -> list[str]:
-    return [f'{route.host}{route.path_prefix}' for route in checked.routes]
-
-
-def _key_digests(checked: document.Document) -> list[str]:
+def _key_digests(
+    checked: document.Document,
+) -> list[collection_types.Hashable]:
     return [
         digest
         for organisation in checked.organisations
@@ -65,7 +63,7 @@
 
 
 def _duplicates(
-    kind: str, names: collection_types.Iterable[str]
+    kind: str, names: collection_types.Iterable[collection_types.Hashable]
 ) -> collection_types.Iterator[Fault]:
     for name, count in collections.Counter(names).items():
         if count > 1:
