Refuse configurations that can't be read in full, and serve odd ones

Callers: routes given twice in one object gave a configuration without routes; timeoutMs of 400 digits was acknowledged, and requests on that route ended without an answer; weights with an infinite sum sent all requests to the last service; an unknown service beside a split was acknowledged.

Cause: json keeps the later of two members of one name; a whole number of JSON compares below infinity though no double holds it; the decoder read `service` only without a split. In the own format, an infinite weight was accepted and stored as null, which no member could load again, and a number of 5,000 digits or an impossible date raised an error that nothing handles.

Change: a repeated name, a number beyond the range of doubles and an unknown service are refused before the log. Stored routes are bounded when they are decoded, so that documents of an earlier version are served, too.

--- a/cranberryrill/administration/base_handler.py
+++ b/cranberryrill/administration/base_handler.py
@@ -8,7 +8,7 @@
 import result
 from tornado import web
 
-from cranberryrill import clock, failures, identifiers
+from cranberryrill import clock, failures, identifiers, strict_json
 from cranberryrill.administration import operations, refusals
 from cranberryrill.keys import digests
 from cranberryrill.membership import timing as membership_timing
@@ -46,6 +46,11 @@
 
         Refuse the request and return None when the body is invalid.
         """
+        try:
+            strict_json.parse(self.request.body)
+        except strict_json.Malformed as malformed:
+            self.refuse(failures.MalformedRequest(f'body: {malformed}'))
+            return None
         try:
             return pydantic.TypeAdapter(body_type).validate_json(
                 self.request.body
--- a/cranberryrill/callers/chat.py
+++ b/cranberryrill/callers/chat.py
@@ -7,7 +7,7 @@
 import pydantic
 import result
 
-from cranberryrill import failures
+from cranberryrill import durations, failures
 from cranberryrill.callers import handlers
 from cranberryrill.configuration import document
 from cranberryrill.relay import relay_pb2
@@ -93,7 +93,9 @@
                 headers=self.forwarded_headers(),
                 body=self.request.body,
                 idempotent=True,
-                first_token_ms=request_class.first_token_ms,
+                first_token_ms=durations.bounded_ms(
+                    request_class.first_token_ms
+                ),
                 streamed=body.stream,
             ),
             model.timeout_ms,
--- a/cranberryrill/callers/services.py
+++ b/cranberryrill/callers/services.py
@@ -1,6 +1,6 @@
 """HTTP handler that forwards calls of plain services along routes."""
 
-from cranberryrill import failures
+from cranberryrill import durations, failures
 from cranberryrill.callers import handlers
 from cranberryrill.configuration import document
 from cranberryrill.relay import relay_pb2
@@ -71,7 +71,9 @@
                 headers=self.forwarded_headers(),
                 body=self.request.body,
                 idempotent=route.idempotent,
-                first_token_ms=request_class.first_token_ms,
+                first_token_ms=durations.bounded_ms(
+                    request_class.first_token_ms
+                ),
             ),
             route.timeout_ms,
         )
--- a/cranberryrill/callers/validation.py
+++ b/cranberryrill/callers/validation.py
@@ -7,7 +7,7 @@
 import result
 from tornado import httputil
 
-from cranberryrill import decimal_numbers, failures
+from cranberryrill import decimal_numbers, durations, failures
 from cranberryrill.callers import refusals
 from cranberryrill.keys import digests
 from cranberryrill.relay import deadlines
@@ -70,9 +70,10 @@
     timeout_ms: int,
 ) -> result.Result[int, failures.MalformedRequest]:
     """Return the shorter of `timeout_ms` and the caller's timeout, if any."""
+    longest_ms = durations.bounded_ms(timeout_ms)
     header = headers.get(deadlines.TIMEOUT_HEADER)
     if header is None:
-        return result.Ok(timeout_ms)
+        return result.Ok(longest_ms)
     caller_ms = decimal_numbers.parse(header)
     if not caller_ms:
         return result.Err(
@@ -80,7 +81,7 @@
                 f'{deadlines.TIMEOUT_HEADER}: a whole number above 0 is needed',
             ),
         )
-    return result.Ok(min(timeout_ms, caller_ms))
+    return result.Ok(min(longest_ms, caller_ms))
 
 
 def find_exposed_key(
--- a/cranberryrill/configuration/validation.py
+++ b/cranberryrill/configuration/validation.py
@@ -1,9 +1,11 @@
 """Parse a configuration document and check it as a whole.
 
 Names must be unique within a kind, as must the path prefixes of routes. Each
-reference must name a configured object.
+reference must name a configured object, and each number must be finite.
 """
 
+import dataclasses
+import sys
 from collections import abc
 
 import result
@@ -11,6 +13,8 @@
 from cranberryrill.configuration import active, document
 from cranberryrill.settings import loader
 
+MAX_NUMBER = sys.float_info.max
+
 
 def read_document(
     text: str,
@@ -37,6 +41,7 @@
     }
     for checked_kind in document.KINDS:
         yield from _duplicate_names(checked_kind, content)
+        yield from _unusable_numbers(checked_kind, content)
     yield from _duplicate_prefixes(content)
     targets = names['models'] | {route.service for route in content.routes}
     for path, reference, configured in _references(content, names, targets):
@@ -75,6 +80,22 @@
         seen.add(prefix)
 
 
+def _unusable_numbers(
+    kind: str,
+    content: document.Document,
+) -> abc.Iterator[loader.Fault]:
+    """Yield each number that is infinite or too large to compute with.
+
+    Documents of earlier versions may contain them, so that the data classes
+    accept them.
+    """
+    for position, known in enumerate(getattr(content, kind)):
+        for name, field in dataclasses.asdict(known).items():
+            if isinstance(field, int | float) and field > MAX_NUMBER:
+                path = f'{kind}.{position}.{name}'
+                yield loader.Fault(path, 0, f'must not be above {MAX_NUMBER}')
+
+
 def _references(
     content: document.Document,
     names: dict[str, set[str]],
--- a/cranberryrill/scheduling/levels.py
+++ b/cranberryrill/scheduling/levels.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+from cranberryrill import durations
 from cranberryrill.configuration import active, document
 from cranberryrill.relay import relay_pb2
 
@@ -72,7 +73,7 @@
             tier=configured.tier,
             floor=configured.floor,
             queue_limit=configured.queue_limit,
-            first_token_seconds=configured.first_token_ms
+            first_token_seconds=durations.bounded_ms(configured.first_token_ms)
             / MILLISECONDS_PER_SECOND,
         )
 
--- a/cranberryrill/settings/loader.py
+++ b/cranberryrill/settings/loader.py
@@ -83,6 +83,10 @@
         root, content = _parse(text)
     except yaml.YAMLError:
         return result.Err(InvalidDocument(source, _syntax_faults(text)))
+    except ValueError as error:
+        # A date or number that Python can't represent.
+        fault = Fault('document', 0, str(error))
+        return result.Err(InvalidDocument(source, (fault,)))
     except RecursionError:
         return result.Err(InvalidDocument(source, (TOO_DEEP,)))
     duplicates = tuple(_duplicate_names(root, ''))
--- a/cranberryrill/traffic/document.py
+++ b/cranberryrill/traffic/document.py
@@ -7,12 +7,18 @@
 import dataclasses
 import enum
 import json
+import sys
 import typing
 import zlib
 
+from cranberryrill import durations
+
 MILLISECONDS_PER_SECOND = 1000
+# Fields of a route that are configured durations.
+DURATIONS = ('timeout_ms', 'target_latency_ms', 'event_gap_ms')
 # The default of zlib; a document of hundreds of routes takes a millisecond.
 COMPRESSION_LEVEL = 6
+MAX_WEIGHT = sys.float_info.max
 DECODE_ERRORS = (zlib.error, ValueError, KeyError, TypeError)
 
 
@@ -191,10 +197,19 @@
 
 
 def _build_route(plain: dict[str, typing.Any]) -> Route:
-    shares = tuple(Share(**share) for share in plain.pop('shares'))
+    """Return a route with its numbers in the ranges that routing supports.
+
+    Documents of earlier versions may hold whole numbers of any length.
+    """
+    shares = tuple(
+        Share(share['service'], min(share['weight'], MAX_WEIGHT))
+        for share in plain.pop('shares')
+    )
     repeatability = Repeatability(plain.pop('repeatability'))
     # Documents of earlier versions have no regions.
     regions = tuple(plain.pop('regions', ()))
+    for name in DURATIONS:
+        plain[name] = durations.bounded_ms(plain[name])
     return Route(
         shares=shares, repeatability=repeatability, regions=regions, **plain
     )
--- a/cranberryrill/traffic/route_table.py
+++ b/cranberryrill/traffic/route_table.py
@@ -57,10 +57,12 @@
 
     `sampled` is uniformly distributed from 0 up to, but not including, 1.
     """
-    total = sum(share.weight for share in shares)
-    remaining = sampled * total
-    for share in shares:
-        remaining -= share.weight
+    # The sum of finite weights may be infinite.
+    largest = max(share.weight for share in shares)
+    weights = [share.weight / largest for share in shares]
+    remaining = sampled * sum(weights)
+    for share, weight in zip(shares, weights):
+        remaining -= weight
         if remaining < 0:
             return share.service
     return shares[-1].service
--- a/cranberryrill/traffic/validation.py
+++ b/cranberryrill/traffic/validation.py
@@ -86,7 +86,7 @@
                 yield Fault(path, f'unknown service {share.service}')
             if share.weight < 0:
                 yield Fault(path, 'a weight must not be below 0')
-        if sum(one.weight for one in route.shares) <= 0:
+        if not any(one.weight > 0 for one in route.shares):
             yield Fault(path, 'the weights add up to 0')
 
 
--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -7,6 +7,7 @@
 from cranberryrill.state import commands_pb2
 
 CLASSES = 'classes: [{name: c, tier: 1}]\n'
+MANY_DIGITS = '9' * 400
 
 
 def routes(first: str, second: str) -> str:
@@ -36,6 +37,25 @@
     assert validation.read_document(routes('/a', second), 'document').is_ok()
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        'organisations: [{name: o, weight: .inf}]',
+        'organisations: [{name: o, requests_per_second: .inf}]',
+        f'organisations: [{{name: o, tokens_per_minute: {MANY_DIGITS}}}]',
+        f'{CLASSES}models: [{{name: m, default_class: c, '
+        f'timeout_ms: {MANY_DIGITS}}}]',
+        f'classes: [{{name: c, tier: 1, first_token_ms: {MANY_DIGITS}}}]',
+        f'classes: [{{name: c, tier: {"9" * 5000}}}]',
+        'classes: [{name: c, tier: 2020-13-45}]',
+    ],
+)
+def test_numbers_that_nothing_can_compute_with_are_invalid(text: str) -> None:
+    # Failed when they were accepted, or raised an error that nothing handles.
+    # An infinite weight could not be loaded from the log again.
+    assert validation.read_document(text, 'document').is_err()
+
+
 def test_stored_routes_with_the_same_paths_are_loaded() -> None:
     stored = [
         document.Route('a', '/a', 's', 'c'),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -45,6 +45,10 @@
     'resumeStreams': True,
     'gapAimMs': 200,
 }
+SPLIT_ROUTE: dict[str, typing.Any] = {
+    **ROUTE,
+    'trafficSplit': [{'service': 's1', 'weight': 1}],
+}
 CONFIGURATION: dict[str, typing.Any] = {
     'version': 7,
     'routes': [ROUTE],
@@ -130,6 +134,10 @@
         {'services': [{'name': 's1'}]},
         {'version': 2**64},
         {'tenants': [{'name': 't', 'apiKeys': ['\ud800']}]},
+        {'routes': [{**ROUTE, 'timeoutMs': 10**400}]},
+        {'routes': [{**ROUTE, 'gapAimMs': 10**400}]},
+        {'routes': [{**SPLIT_ROUTE, 'service': 'unknown'}]},
+        {'routes': [{**SPLIT_ROUTE, 'service': 5}]},
     ],
 )
 def test_invalid_configuration_field_is_unreadable(
@@ -139,6 +147,39 @@
         decode(**changes)
 
 
+@pytest.mark.parametrize(
+    'repeated',
+    [
+        b'{"routes":[],',
+        b'{"version":8,',
+        b'{"new":{"a":1,"a":1},',
+        b'{"new":[{"a":1,"a":2}],',
+    ],
+)
+def test_configuration_with_a_repeated_field_is_unreadable(
+    repeated: bytes,
+) -> None:
+    # Failed when the later field replaced the earlier one, such as all routes.
+    content = json.dumps(CONFIGURATION).encode()
+    with pytest.raises(json_fields.Unreadable):
+        configuration.decode(repeated + content.removeprefix(b'{'))
+
+
+@pytest.mark.parametrize('service', ['s1', None, ''])
+def test_service_beside_a_split_may_be_known_or_absent(
+    service: str | None,
+) -> None:
+    decoded = decode(routes=[{**SPLIT_ROUTE, 'service': service}])
+    assert decoded.routes[0].shares == (document.Share('s1', 1),)
+    assert not validation.find_faults(decoded)
+
+
+def test_large_weights_and_timeouts_are_valid() -> None:
+    split = [{'service': 's1', 'weight': weight} for weight in (1e308, 10**308)]
+    route = {**ROUTE, 'trafficSplit': split, 'timeoutMs': 10**300}
+    assert not validation.find_faults(decode(routes=[route]))
+
+
 @pytest.mark.parametrize(
     'content',
     [b'', b'{"version":7,"rou', b'[]', b'\xff\xfe', b'[' * 100_000],
--- a/tests/traffic/test_places.py
+++ b/tests/traffic/test_places.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranberryrill import durations
 from cranberryrill.traffic import document, places, route_table, validation
 from tests.traffic import test_route_table
 
@@ -112,3 +113,29 @@
         version=3, routes=(first, second), services=SERVICES
     )
     assert not validation.find_faults(checked)
+
+
+def test_weights_with_an_infinite_sum_split_requests() -> None:
+    # Failed when all requests went to the last service.
+    shares = (document.Share('s', 1e308), document.Share('t', 1e308))
+    chosen = [
+        route_table.choose_service(shares, percent / 100)
+        for percent in range(100)
+    ]
+    assert chosen.count('s') == 50
+
+
+def test_stored_numbers_of_many_digits_are_bounded() -> None:
+    # Failed when such a request ended without a response.
+    route = dataclasses.replace(
+        test_route_table.ROUTE,
+        timeout_ms=10**400,
+        target_latency_ms=10**400,
+        event_gap_ms=10**400,
+        shares=(document.Share('s', 10**400), document.Share('t', 0.5)),
+    )
+    stored = document.Document(version=3, routes=(route,), services=SERVICES)
+    loaded = document.decode(document.encode(stored)).routes[0]
+    bounded = (loaded.timeout_ms, loaded.target_latency_ms, loaded.event_gap_ms)
+    assert bounded == (durations.MAX_MILLISECONDS,) * 3
+    assert route_table.choose_service(loaded.shares, 0.5) == 's'
