Let an end cover each start before it, and only those

Callers: a replica crashed, started again under its id and left by DELETE while its first heartbeat was on its way.

Cause: a DELETE names no start. The recorder took the newest start that its member knew, and for an unknown id each start up to now by its own clock.

Ruled out: that the end is lost or not acted on.

Change: registry/endings.py decides what an end covers: each start up to a time that is recorded in the log. It is derived from an earlier start of the upstream and the monotonic clock, so that clocks of two machines are compared only where no start was heard. A repeat covers no more.

Tests: 3 of 4 new cases of tests/system/test_departures.py failed before.

--- a/cranberryrill/forwarding/usage_counter.py
+++ b/cranberryrill/forwarding/usage_counter.py
@@ -15,21 +15,6 @@
 SUBMIT_TIMEOUT_SECONDS = 3.0
 
 
-class SteadyUnixClock:
-    """Unix time derived from the monotonic clock.
-
-    The wall clock is read once, at creation, so later changes to it have no
-    effect.
-    """
-
-    def __init__(self, monotonic_seconds: float, unix_ms: int) -> None:
-        self.offset_ms = unix_ms - monotonic_seconds * MILLISECONDS_PER_SECOND
-
-    def unix_ms(self, now: float) -> float:
-        """Return the Unix time in milliseconds at monotonic time `now`."""
-        return now * MILLISECONDS_PER_SECOND + self.offset_ms
-
-
 class UsageCounter:
     """Counts of started requests that the replicated log has not yet stored.
 
@@ -41,7 +26,7 @@
         self,
         submitter: submission.Submitter,
         source: str,
-        unix_clock: SteadyUnixClock,
+        unix_clock: clock.SteadyUnixClock,
         window_seconds: float,
     ) -> None:
         self.submitter = submitter
--- a/cranberryrill/programs/fleet_control.py
+++ b/cranberryrill/programs/fleet_control.py
@@ -13,7 +13,6 @@
 from cranberryrill.authority import holder, platform_client
 from cranberryrill.evacuation import evacuation_pb2
 from cranberryrill.evacuation import recorder as evacuation_recorder
-from cranberryrill.forwarding import usage_counter
 from cranberryrill.programs import disk_recovery, replicated_state, shutdown
 from cranberryrill.registry import departure_recorder, registry_pb2
 from cranberryrill.replication import compaction, files, folder_lock, voters
@@ -160,11 +159,21 @@
             self.replicated.membership_service.wake()
             # Its end may be announced to another member soon.
             self.replicated.exchange.wake()
-        if not registration.leaving:
-            return result.Ok(None)
-        return await self.replicated.departure_recorder.commit(
-            registry_pb2.RecordDeparture(registration=registration), now
-        )
+        elif not accepted:
+            LOGGER.info(
+                'heartbeat ignored',
+                extra={
+                    'upstream': registration.id,
+                    'started_unix_ms': registration.started_unix_ms,
+                    'sequence': registration.sequence,
+                },
+            )
+        recorder = self.replicated.departure_recorder
+        if registration.leaving:
+            return await recorder.commit(
+                registry_pb2.RecordDeparture(registration=registration), now
+            )
+        return await recorder.commit_covered(registration, now)
 
     async def deregister(
         self, upstream: str, now: float
@@ -174,16 +183,17 @@
         It may be acknowledged only if the result is not an error.
         """
         recorder = self.replicated.departure_recorder
-        registration = await recorder.find(upstream, now)
-        if self.replicated.registry.record(registration, now, removed=True):
-            LOGGER.info('upstream ended', extra={'upstream': upstream})
-            self.replicated.membership_service.wake()
-        return await recorder.commit(
-            registry_pb2.RecordDeparture(
-                registration=registration, removed=True
-            ),
+        departure = await recorder.end(upstream, now)
+        is_news = self.replicated.registry.record(
+            departure.registration,
             now,
+            removed=True,
+            covered_until_ms=departure.covered_until_unix_ms,
         )
+        if is_news:
+            LOGGER.info('upstream ended', extra={'upstream': upstream})
+            self.replicated.membership_service.wake()
+        return await recorder.commit(departure, now)
 
     async def evacuate(
         self, order: evacuation_pb2.SetEvacuation, now: float
@@ -221,7 +231,7 @@
             self.replicated.clock_usage,
             client,
             self.adapter.reports,
-            usage_counter.SteadyUnixClock(
+            clock.SteadyUnixClock(
                 clock.monotonic_seconds(),
                 clock.unix_milliseconds(),
             ),
--- a/cranberryrill/programs/fleet_entry.py
+++ b/cranberryrill/programs/fleet_entry.py
@@ -185,7 +185,7 @@
                 self.dialer, self._control_addresses(), self.rng
             ),
             self.settings.name,
-            usage_counter.SteadyUnixClock(
+            clock.SteadyUnixClock(
                 clock.monotonic_seconds(),
                 clock.unix_milliseconds(),
             ),
--- a/cranberryrill/programs/replicated_state.py
+++ b/cranberryrill/programs/replicated_state.py
@@ -104,7 +104,9 @@
         self.clock_usage = clock_windows.ClockWindowsState()
         self.orders = intents.AuthorityState()
         self.registry = table.RegistrationTable(
-            options.heartbeat_seconds, clock.monotonic_seconds()
+            options.heartbeat_seconds,
+            clock.monotonic_seconds(),
+            options.drain_seconds,
         )
         self.departures = departures.DeparturesState(self._register_departure)
         self.evacuations = evacuation_state.EvacuationState()
@@ -127,7 +129,9 @@
             self.registry,
             self.departures,
             self.proposer,
-            options.drain_seconds,
+            clock.SteadyUnixClock(
+                clock.monotonic_seconds(), clock.unix_milliseconds()
+            ),
         )
         self.evacuation_recorder = evacuation_recorder.EvacuationRecorder(
             options.data_centres, self.proposer
@@ -200,12 +204,14 @@
         self.member.store.close()
 
     def _register_departure(
-        self, departure: registry_pb2.RecordDeparture
+        self, departure: registry_pb2.RecordDeparture, unix_ms: int
     ) -> bool:
+        age_seconds = departures.age_seconds(unix_ms, clock.unix_milliseconds())
         return self.registry.record(
             departure.registration,
-            clock.monotonic_seconds(),
+            clock.monotonic_seconds() - age_seconds,
             removed=departure.removed,
+            covered_until_ms=departure.covered_until_unix_ms,
         )
 
     def _make_membership_service(self) -> watch_service.MembershipService:
--- a/cranberryrill/registry/cursor.py
+++ b/cranberryrill/registry/cursor.py
@@ -1,6 +1,6 @@
 """Incremental updates of the registry for one watcher."""
 
-from cranberryrill.registry import registry_pb2, table
+from cranberryrill.registry import records, registry_pb2, table
 
 
 class Cursor:
@@ -39,7 +39,7 @@
                 for name, registration in present.items()
                 if full
                 or name not in self.sent
-                or table.routing_differs(self.sent[name], registration)
+                or records.routing_differs(self.sent[name], registration)
                 or cold_ends[name] > self.sent_cold_ends[name]
             ],
             gone=sorted(self._gone(registry, present)),
--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -7,7 +7,12 @@
 import result
 
 from cranberryrill import clock, failures
-from cranberryrill.registry import departures, registry_pb2, table
+from cranberryrill.registry import (
+    departures,
+    endings,
+    registry_pb2,
+    table,
+)
 from cranberryrill.replication import proposals
 from cranberryrill.state import commands_pb2
 
@@ -36,47 +41,82 @@
         registry: table.RegistrationTable,
         recorded: departures.DeparturesState,
         proposer: proposals.Proposer,
-        drain_seconds: float,
+        unix_clock: clock.SteadyUnixClock,
     ) -> None:
         self.registry = registry
         self.recorded = recorded
         self.proposer = proposer
-        # How long an upstream serves on after its end was acknowledged.
-        self.drain_seconds = drain_seconds
+        self.unix_clock = unix_clock
 
-    async def find(
+    async def end(
         self, upstream: str, now: float
-    ) -> registry_pb2.Registration:
-        """Return the registration of the incarnation that ends.
+    ) -> registry_pb2.RecordDeparture:
+        """Return the departure of an upstream that announced its end at `now`.
 
-        An upstream may register at one member and deregister at another, so one
-        that is unknown here is awaited for a moment. If it stays unknown, the
-        result stands for each incarnation that has started up to now.
+        A repeat of the announcement gets the same departure.
         """
-        deadline = now + SIGHTING_TIMEOUT_SECONDS
-        known = self._find_known(upstream, now)
-        while known is None:
-            if clock.monotonic_seconds() >= deadline:
-                return registry_pb2.Registration(
-                    id=upstream, started_unix_ms=clock.unix_milliseconds()
-                )
-            await asyncio.sleep(SIGHTING_POLL_SECONDS)
-            known = self._find_known(upstream, now)
-        return known
+        repeated = self._find_repeated(upstream, now)
+        if repeated is not None:
+            return repeated
+        known = await self._wait_for_start(upstream, now)
+        drain_seconds = 0 if known.leaving else self.registry.drain_seconds
+        covered_until_ms = endings.covered_until_ms(
+            self.registry.earliest_time_ms(upstream, now),
+            self.unix_clock.unix_ms(now),
+            drain_seconds * MILLISECONDS_PER_SECOND,
+        )
+        return registry_pb2.RecordDeparture(
+            registration=known,
+            removed=True,
+            covered_until_unix_ms=max(covered_until_ms, known.started_unix_ms),
+        )
 
-    def _find_known(
+    def _find_repeated(
         self, upstream: str, now: float
-    ) -> registry_pb2.Registration | None:
-        """Return the newest registration, if its end may be announced now.
+    ) -> registry_pb2.RecordDeparture | None:
+        """Return the departure that was announced less than a drain time ago.
 
-        Soon after an end, another announcement is a repeat. After the drain
-        time a later incarnation may have started, and ends.
+        A later incarnation can't have started since then, unless this one had
+        drained before.
         """
         record = self.registry.records.get(upstream)
-        if record is None:
+        if record is None or record.registration.leaving:
             return None
-        if record.removed and now >= record.updated_at + self.drain_seconds:
+        if now >= record.updated_at + self.registry.drain_seconds:
             return None
+        return record.departure()
+
+    async def commit_covered(
+        self, heartbeat: registry_pb2.Registration, now: float
+    ) -> result.Result[None, NotRecorded]:
+        """Commit that an incarnation is one of those that ended.
+
+        Its first heartbeat arrived at `now`, after the end of its upstream. If
+        its heartbeats go on, all members register it again.
+        """
+        record = self.registry.records.get(heartbeat.id)
+        departure = record.departure() if record else None
+        if departure is None or departure.registration != heartbeat:
+            return result.Ok(None)
+        return await self.commit(departure, now)
+
+    async def _wait_for_start(
+        self, upstream: str, now: float
+    ) -> registry_pb2.Registration:
+        """Return the newest registration of an upstream; only its id if none.
+
+        It may register at one member and announce its end to another, so one
+        that is unknown here, or has ended here, is awaited for a moment.
+        """
+        deadline = now + SIGHTING_TIMEOUT_SECONDS
+        while True:
+            record = self.registry.records.get(upstream)
+            is_living = record is not None and not record.removed
+            if is_living or clock.monotonic_seconds() >= deadline:
+                break
+            await asyncio.sleep(SIGHTING_POLL_SECONDS)
+        if record is None:
+            return registry_pb2.Registration(id=upstream)
         return record.registration
 
     async def commit(
@@ -101,6 +141,7 @@
                 'upstream': departure.registration.id,
                 'started_unix_ms': departure.registration.started_unix_ms,
                 'removed': departure.removed,
+                'covered_until_unix_ms': departure.covered_until_unix_ms,
                 'committed': is_committed,
                 'elapsed_ms': int(seconds * MILLISECONDS_PER_SECOND),
             },
--- a/cranberryrill/registry/departures.py
+++ b/cranberryrill/registry/departures.py
@@ -11,15 +11,17 @@
 
 from google.protobuf import message
 
-from cranberryrill.registry import registry_pb2
+from cranberryrill.registry import endings, registry_pb2, timing
 from cranberryrill.state import commands_pb2
 
 LOGGER = logging.getLogger(__name__)
+MILLISECONDS_PER_SECOND = 1000
 # A few days of departures at 230 restarts a day; about 100 bytes each.
 MAX_DEPARTURES = 2048
 
-# Applies a departure to the registrations; returns whether it was news.
-Register = collection_types.Callable[[registry_pb2.RecordDeparture], bool]
+# Applies a departure to the registrations; returns whether it was news. Also
+# takes the Unix milliseconds of its commit, 0 if they are not known.
+Register = collection_types.Callable[[registry_pb2.RecordDeparture, int], bool]
 
 
 class DeparturesState:
@@ -41,7 +43,11 @@
     def covers(self, departure: registry_pb2.RecordDeparture) -> bool:
         """Return whether this or a later departure of the id is recorded."""
         recorded = self.by_id.get(departure.registration.id)
-        return recorded is not None and _order(recorded) >= _order(departure)
+        if recorded is None or _order(recorded) < _order(departure):
+            return False
+        return not recorded.covered_until_unix_ms or not endings.has_returned(
+            recorded.registration, departure.registration
+        )
 
     def apply(
         self,
@@ -61,7 +67,8 @@
                 extra={
                     'upstream': departure.registration.id,
                     'removed': departure.removed,
-                    'taken': self.register(departure),
+                    'covered_until_unix_ms': departure.covered_until_unix_ms,
+                    'taken': self.register(departure, unix_ms),
                 },
             )
         return registry_pb2.DepartureOutcome()
@@ -79,8 +86,21 @@
             for departure in dump.departures
         )
         for departure in dump.departures:
-            self.register(departure)
+            self.register(departure, 0)
+
+
+def age_seconds(committed_unix_ms: int, now_unix_ms: int) -> float:
+    """Return how long ago a departure was committed, up to a limit."""
+    elapsed_ms = max(now_unix_ms - committed_unix_ms, 0)
+    return min(
+        elapsed_ms / MILLISECONDS_PER_SECOND,
+        timing.RESTORED_DEPARTURE_AGE_SECONDS,
+    )
 
 
-def _order(departure: registry_pb2.RecordDeparture) -> tuple[int, bool]:
-    return departure.registration.started_unix_ms, departure.removed
+def _order(
+    departure: registry_pb2.RecordDeparture,
+) -> tuple[int, bool, int]:
+    started_ms = departure.registration.started_unix_ms
+    latest_start_ms = max(started_ms, departure.covered_until_unix_ms)
+    return latest_start_ms, departure.removed, started_ms
--- /dev/null
+++ b/cranberryrill/registry/records.py
@@ -0,0 +1,80 @@
+"""Records of the registration table, and what of them affects routing."""
+
+import dataclasses
+import math
+
+from cranberryrill.registry import registry_pb2
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """The newest registration of one upstream, and whether it has ended."""
+
+    registration: registry_pb2.Registration
+    # Monotonic seconds of the last heartbeat, or of the removal.
+    updated_at: float
+    removed: bool = False
+    # Value of the table's change number when this record was stored.
+    change_number: int = 0
+    # Monotonic end of the cold time that watchers are told.
+    cold_until: float = -math.inf
+    # Incarnations that started up to then have ended, in Unix milliseconds; 0
+    # if no end was announced.
+    covered_until_ms: int = 0
+    # Monotonic seconds of the first heartbeat of this incarnation; None if that
+    # did not come to this process or to a member that told it.
+    first_heard_at: float | None = None
+
+    @property
+    def started_unix_ms(self) -> int:
+        """Return the start of the newest known incarnation."""
+        return self.registration.started_unix_ms
+
+    @property
+    def ended_until_ms(self) -> int:
+        """Return the latest start that has ended, if the record is removed."""
+        return max(self.covered_until_ms, self.started_unix_ms)
+
+    def departure(self) -> registry_pb2.RecordDeparture | None:
+        """Return the departure that ended the upstream, if it announced one."""
+        if not self.removed or not self.covered_until_ms:
+            return None
+        return registry_pb2.RecordDeparture(
+            registration=self.registration,
+            removed=True,
+            covered_until_unix_ms=self.covered_until_ms,
+        )
+
+    def time_ms(self, first_heard_at: float, now: float) -> float:
+        """Return the time by the upstream's clock, if it was heard at once."""
+        elapsed_ms = (now - first_heard_at) * MILLISECONDS_PER_SECOND
+        return self.started_unix_ms + elapsed_ms
+
+
+def changes_routing(current: Record, stored: Record) -> bool:
+    """Return whether watchers need to be told of a new record."""
+    if current.removed or stored.removed:
+        return current.removed != stored.removed
+    if stored.cold_until > current.cold_until:
+        return True
+    return routing_differs(current.registration, stored.registration)
+
+
+def routing_differs(
+    one: registry_pb2.Registration,
+    other: registry_pb2.Registration,
+) -> bool:
+    """Return whether two registrations differ in what routing uses."""
+    return _routing_content(one) != _routing_content(other)
+
+
+def _routing_content(registration: registry_pb2.Registration) -> bytes:
+    content = registry_pb2.Registration()
+    content.CopyFrom(registration)
+    # These change with each heartbeat. Routing needs no sequence, and of the
+    # cold time only a later end than the one it knows (`cold_until`).
+    content.ClearField('sequence')
+    content.ClearField('warm_up_ms')
+    return content.SerializeToString(deterministic=True)
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -2,32 +2,23 @@
 
 Each member records the heartbeats that it receives and merges the sightings of
 the others. Which of two registrations is newer depends only on their contents,
-so members converge in whatever order registrations arrive.
+so members converge in whatever order registrations arrive. What an announced
+end covers is decided in `endings`.
 """
 
-import dataclasses
 import math
+import statistics
 
-from cranberryrill.registry import registry_pb2, timing
+from cranberryrill.registry import endings, records, registry_pb2, timing
 
 MILLISECONDS_PER_SECOND = 1000
 # Watchers are told a cold time longer by this than the heartbeat says, so that
 # a later heartbeat that took longer on its way is no news.
 COLD_MARGIN_SECONDS = 0.25
-
-
-@dataclasses.dataclass(frozen=True)
-class Record:
-    """The newest registration of one upstream, and whether it has ended."""
-
-    registration: registry_pb2.Registration
-    # Monotonic seconds of the last heartbeat, or of the removal.
-    updated_at: float
-    removed: bool = False
-    # Value of the table's change number when this record was stored.
-    change_number: int = 0
-    # Monotonic end of the cold time that watchers are told.
-    cold_until: float = -math.inf
+# Sequence number of the first heartbeat of an incarnation, or below.
+FIRST_SEQUENCE = 1
+# Starts of other upstreams from which the time by their clocks is derived.
+MIN_STARTS = 3
 
 
 class RegistrationTable:
@@ -37,7 +28,11 @@
         self,
         heartbeat_seconds: float = timing.DEFAULT_HEARTBEAT_SECONDS,
         started_at: float = 0,
+        drain_seconds: float = timing.DEFAULT_DRAIN_SECONDS,
     ) -> None:
+        self.started_at = started_at
+        # How long an upstream serves on after its end was acknowledged.
+        self.drain_seconds = drain_seconds
         # From then on each living upstream has sent a heartbeat since the start
         # of this process, at `started_at` in monotonic seconds.
         self.complete_from = (
@@ -47,7 +42,7 @@
         self.restored_lifetime_seconds = (
             heartbeat_seconds * timing.RESTORED_HEARTBEATS
         )
-        self.records: dict[str, Record] = {}
+        self.records: dict[str, records.Record] = {}
         # Whether registrations from before a restart were stored.
         self.is_restored = False
         # Increases with each stored record, heartbeats included.
@@ -62,24 +57,23 @@
         now: float,
         *,
         removed: bool = False,
+        covered_until_ms: int = 0,
     ) -> bool:
         """Store a registration and return whether it was stored.
 
         Ignored if a newer one of the same upstream is stored, or if an
         upstream that started later is registered at the same address. A stored
-        one removes other upstreams at its address. `now` is in monotonic
-        seconds.
+        one removes other upstreams at its address. With `removed`, each start
+        up to `covered_until_ms` has ended, too. `now` is in monotonic seconds.
         """
-        current = self.records.get(registration.id)
-        if current is not None and not _is_newer(
-            current, registration, removed
-        ):
+        if removed:
+            return self._end(registration, now, covered_until_ms)
+        if not self._may_register(registration, now):
             return False
-        if not removed and self._is_replaced(registration):
+        if self._is_replaced(registration):
             return False
-        self._store(registration, now, removed=removed)
-        if not removed:
-            self._remove_replaced(registration, now)
+        self._store(registration, now)
+        self._remove_replaced(registration, now)
         return True
 
     def restore(
@@ -151,6 +145,7 @@
             registry_pb2.Sighting(
                 registration=record.registration,
                 removed=record.removed,
+                covered_until_unix_ms=record.covered_until_ms,
                 age_ms=max(
                     int((now - record.updated_at) * MILLISECONDS_PER_SECOND),
                     0,
@@ -166,16 +161,77 @@
         One that is older than its retention time is ignored.
         """
         updated_at = now - sighting.age_ms / MILLISECONDS_PER_SECOND
-        record = Record(sighting.registration, updated_at, sighting.removed)
+        record = records.Record(
+            sighting.registration, updated_at, sighting.removed
+        )
         if now >= updated_at + self._retention_seconds(record):
             return False
         return self.record(
             sighting.registration,
             updated_at,
             removed=sighting.removed,
+            covered_until_ms=sighting.covered_until_unix_ms,
+        )
+
+    def earliest_time_ms(self, upstream: str, now: float) -> float | None:
+        """Return a lower bound of the time by the clock of an upstream.
+
+        An incarnation has run at least since its first heartbeat was received.
+        Without one of this upstream, the median of the others is returned, or
+        None if there are too few. In Unix milliseconds.
+        """
+        own = self.records.get(upstream)
+        if own is not None and own.first_heard_at is not None:
+            return own.time_ms(own.first_heard_at, now)
+        times = [
+            record.time_ms(record.first_heard_at, now)
+            for record in self.records.values()
+            if record.first_heard_at is not None
+        ]
+        return statistics.median(times) if len(times) >= MIN_STARTS else None
+
+    def _may_register(
+        self, heartbeat: registry_pb2.Registration, now: float
+    ) -> bool:
+        current = self.records.get(heartbeat.id)
+        if current is None:
+            return True
+        if not current.removed:
+            return _is_newer(current.registration, heartbeat)
+        effect = endings.effect_of(current, heartbeat, now, self.drain_seconds)
+        if effect is endings.Effect.covered:
+            self._store(
+                heartbeat,
+                current.updated_at,
+                removed=True,
+                covered_until_ms=max(
+                    current.covered_until_ms, heartbeat.started_unix_ms
+                ),
+            )
+        return effect is endings.Effect.registers
+
+    def _end(
+        self,
+        registration: registry_pb2.Registration,
+        now: float,
+        covered_until_ms: int,
+    ) -> bool:
+        current = self.records.get(registration.id)
+        newest = registration
+        if current is not None:
+            if not endings.is_news(
+                current, registration, covered_until_ms, now
+            ):
+                return False
+            if current.started_unix_ms > registration.started_unix_ms:
+                newest = current.registration
+            covered_until_ms = max(covered_until_ms, current.covered_until_ms)
+        self._store(
+            newest, now, removed=True, covered_until_ms=covered_until_ms
         )
+        return True
 
-    def _retention_seconds(self, record: Record) -> float:
+    def _retention_seconds(self, record: records.Record) -> float:
         return (
             timing.REMOVED_RETENTION_SECONDS
             if record.removed or record.registration.leaving
@@ -187,21 +243,38 @@
         registration: registry_pb2.Registration,
         now: float,
         *,
-        removed: bool,
+        removed: bool = False,
+        covered_until_ms: int = 0,
     ) -> None:
         current = self.records.get(registration.id)
         self.change_number += 1
-        stored = Record(
+        stored = records.Record(
             registration,
             now,
             removed,
             self.change_number,
             _cold_until(current, registration, now),
+            covered_until_ms,
+            self._first_heard_at(current, registration, now),
         )
         self.records[registration.id] = stored
-        if current is None or _changes_routing(current, stored):
+        if current is None or records.changes_routing(current, stored):
             self.version += 1
 
+    def _first_heard_at(
+        self,
+        current: records.Record | None,
+        registration: registry_pb2.Registration,
+        now: float,
+    ) -> float | None:
+        if current is not None and (
+            current.started_unix_ms == registration.started_unix_ms
+        ):
+            return current.first_heard_at
+        if registration.sequence > FIRST_SEQUENCE or now < self.started_at:
+            return None
+        return now if registration.started_unix_ms else None
+
     def _is_replaced(self, candidate: registry_pb2.Registration) -> bool:
         """Return whether a later upstream is registered at its address."""
         return any(
@@ -228,24 +301,6 @@
             self._store(registration, now, removed=True)
 
 
-def routing_differs(
-    one: registry_pb2.Registration,
-    other: registry_pb2.Registration,
-) -> bool:
-    """Return whether two registrations differ in what routing uses."""
-    return _routing_content(one) != _routing_content(other)
-
-
-def _routing_content(registration: registry_pb2.Registration) -> bytes:
-    content = registry_pb2.Registration()
-    content.CopyFrom(registration)
-    # These change with each heartbeat. Routing needs no sequence, and of the
-    # cold time only a later end than the one it knows (`cold_until`).
-    content.ClearField('sequence')
-    content.ClearField('warm_up_ms')
-    return content.SerializeToString(deterministic=True)
-
-
 def with_cold_time(
     registration: registry_pb2.Registration, cold_until: float, now: float
 ) -> registry_pb2.Registration:
@@ -258,7 +313,7 @@
 
 
 def _cold_until(
-    current: Record | None,
+    current: records.Record | None,
     registration: registry_pb2.Registration,
     now: float,
 ) -> float:
@@ -281,27 +336,14 @@
     return until + COLD_MARGIN_SECONDS
 
 
-def _changes_routing(current: Record, stored: Record) -> bool:
-    if current.removed != stored.removed:
-        return True
-    if stored.cold_until > current.cold_until:
-        return True
-    return routing_differs(current.registration, stored.registration)
-
-
 def _address(registration: registry_pb2.Registration) -> tuple[str, int]:
     return registration.host, registration.port
 
 
 def _is_newer(
-    record: Record,
+    current: registry_pb2.Registration,
     registration: registry_pb2.Registration,
-    removed: bool,
 ) -> bool:
-    current = record.registration
     if registration.started_unix_ms != current.started_unix_ms:
         return registration.started_unix_ms > current.started_unix_ms
-    if record.removed:
-        # An ended incarnation can't register again.
-        return False
-    return removed or registration.sequence > current.sequence
+    return registration.sequence > current.sequence
--- a/tests/registry/test_departure_recorder.py
+++ b/tests/registry/test_departure_recorder.py
@@ -40,15 +40,21 @@
         return result.Ok(b'')
 
 
+def is_news(departure: registry_pb2.RecordDeparture, unix_ms: int) -> bool:
+    return True
+
+
 def make_recorder(
     *, has_leader: bool = True
 ) -> tuple[departure_recorder.DepartureRecorder, FakeProposer]:
     proposer = FakeProposer(has_leader=has_leader)
     recorder = departure_recorder.DepartureRecorder(
         table.RegistrationTable(),
-        departures.DeparturesState(lambda _: True),
+        departures.DeparturesState(is_news),
         typing.cast(typing.Any, proposer),
-        DRAIN_SECONDS,
+        clock.SteadyUnixClock(
+            clock.monotonic_seconds(), clock.unix_milliseconds()
+        ),
     )
     return recorder, proposer
 
@@ -77,47 +83,57 @@
     # Failed when an unknown upstream's end was acknowledged and forgotten.
     recorder, _ = make_recorder()
     now = clock.monotonic_seconds()
-    finding = asyncio.create_task(recorder.find('u1', now))
+    ending = asyncio.create_task(recorder.end('u1', now))
     await asyncio.sleep(0.05)
     recorder.registry.merge(
         registry_pb2.Sighting(registration=REGISTRATION), now
     )
-    assert await finding == REGISTRATION
+    assert (await ending).registration == REGISTRATION
 
 
 async def test_end_of_an_unknown_upstream_covers_what_has_started() -> None:
     recorder, _ = make_recorder()
     now = clock.monotonic_seconds()
-    found = await recorder.find('u1', now)
-    assert abs(found.started_unix_ms - clock.unix_milliseconds()) < 1000
+    arrived_ms = clock.unix_milliseconds()
+    departure = await commit_end(recorder, now)
+    covered_ms = departure.covered_until_unix_ms
+    assert 0 < covered_ms - arrived_ms < DRAIN_SECONDS * 1000
     registry = recorder.registry
-    assert registry.record(found, now, removed=True)
     assert not registry.record(REGISTRATION, now)
     restarted = registry_pb2.Registration(
-        id='u1', started_unix_ms=found.started_unix_ms + 1
+        id='u1', started_unix_ms=covered_ms + 1
     )
-    assert registry.record(restarted, now)
+    assert registry.record(restarted, now + DRAIN_SECONDS)
 
 
 def record_end(
     recorder: departure_recorder.DepartureRecorder, ended_at: float
 ) -> None:
     """Record the end of an earlier incarnation, in the log, too."""
-    recorder.registry.record(REGISTRATION, ended_at, removed=True)
+    covered_ms = REGISTRATION.started_unix_ms
+    recorder.registry.record(
+        REGISTRATION, ended_at, removed=True, covered_until_ms=covered_ms
+    )
     recorder.recorded.by_id['u1'] = registry_pb2.RecordDeparture(
-        registration=REGISTRATION, removed=True
+        registration=REGISTRATION,
+        removed=True,
+        covered_until_unix_ms=covered_ms,
     )
 
 
 async def commit_end(
     recorder: departure_recorder.DepartureRecorder, now: float
-) -> registry_pb2.Registration:
-    """Deregister an upstream; return the registration that ended."""
-    found = await recorder.find('u1', now)
-    recorder.registry.record(found, now, removed=True)
-    departure = registry_pb2.RecordDeparture(registration=found, removed=True)
+) -> registry_pb2.RecordDeparture:
+    """Deregister an upstream; return its departure."""
+    departure = await recorder.end('u1', now)
+    recorder.registry.record(
+        departure.registration,
+        now,
+        removed=True,
+        covered_until_ms=departure.covered_until_unix_ms,
+    )
     assert (await recorder.commit(departure, now)).is_ok()
-    return found
+    return departure
 
 
 async def test_incarnation_after_one_that_has_ended_is_awaited() -> None:
@@ -129,7 +145,7 @@
     committing = asyncio.create_task(commit_end(recorder, now))
     await asyncio.sleep(0.05)
     recorder.registry.merge(registry_pb2.Sighting(registration=RESTARTED), now)
-    assert await committing == RESTARTED
+    assert (await committing).registration == RESTARTED
     assert len(proposer.commands) == 1
 
 
@@ -147,6 +163,6 @@
     recorder, proposer = make_recorder()
     now = clock.monotonic_seconds()
     record_end(recorder, now - DRAIN_SECONDS / 2)
-    assert await commit_end(recorder, now) == REGISTRATION
+    assert (await commit_end(recorder, now)).registration == REGISTRATION
     assert clock.monotonic_seconds() < now + 0.1
     assert not proposer.commands
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -22,7 +22,9 @@
         self.taken: list[registry_pb2.RecordDeparture] = []
         self.state = departures.DeparturesState(self.register)
 
-    def register(self, departed: registry_pb2.RecordDeparture) -> bool:
+    def register(
+        self, departed: registry_pb2.RecordDeparture, unix_ms: int
+    ) -> bool:
         self.taken.append(departed)
         return True
 
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+import pytest
 from tornado import httpclient
 
 from bench import processes
@@ -19,6 +20,13 @@
 # An upstream serves for the drain time, and starts again later.
 RESTART_SECONDS = 2.5
 CALL_TIMEOUT_SECONDS = 5.0
+# An upstream calls another member after a second without an answer.
+BEFORE_END_SECONDS = 0.8
+# Longer than the drain time, after which a start may be a later one.
+LATE_SECONDS = 2.4
+DRAIN_SECONDS = 2.0
+# A start that goes on after a late announcement is in use again by then.
+RETURN_SECONDS = 14.0
 
 
 async def leave(
@@ -145,3 +153,96 @@
         await leave(system, leaving, 1)
         await asyncio.sleep(SETTLE_SECONDS)
         assert await count_requests(system, leaving) == 0
+
+
+def start_again(replica: outside.Replica) -> None:
+    """Give a replica a new start, of which no member has heard."""
+    replica.control_addresses = []
+    replica.started_unix_ms = int(time.time() * outside.MS_PER_SECOND)
+    replica.heartbeat_sequence = 0
+
+
+async def kill_all_members(system: test_fleet.System) -> None:
+    for vm in system.fleet.members:
+        system.fleet.processes_by_name[vm.name].kill()
+    await asyncio.sleep(0.5)
+    for vm in system.fleet.members:
+        system.fleet.start(vm)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
+@pytest.mark.parametrize('kills', [False, True])
+async def test_end_covers_a_start_whose_first_heartbeat_is_late(
+    tmp_path: pathlib.Path, *, kills: bool
+) -> None:
+    # Failed when the end was recorded for the start before a crash, which alone
+    # the member knew.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        leaving = system.replicas[2]
+        start_again(leaving)
+        await asyncio.sleep(BEFORE_END_SECONDS)
+        await leave(system, leaving, 1)
+        if kills:
+            await kill_all_members(system)
+        else:
+            await asyncio.sleep(LATE_SECONDS)
+        leaving.heartbeat_sequence = 0
+        leaving.control_addresses = [system.fleet.control_addresses[0]]
+        assert await leaving.send_heartbeat()
+        leaving.control_addresses = []
+        assert await count_requests(system, leaving) == 0
+
+
+async def test_start_after_the_drain_time_serves_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against an end, sent again as its answer was lost, that covers the
+    # next start.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        leaving = system.replicas[2]
+        await leave(system, leaving, 1)
+        await asyncio.sleep(BEFORE_END_SECONDS)
+        await leave(system, leaving, 0)
+        await asyncio.sleep(DRAIN_SECONDS)
+        start_again(leaving)
+        leaving.control_addresses = [system.fleet.control_addresses[2]]
+        assert await leaving.send_heartbeat()
+        assert await count_requests(system, leaving) > 0
+
+
+async def test_start_that_goes_on_after_a_late_end_serves_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Failed when the late end of an earlier start ended this one for good.
+    async with test_fleet.run_system(
+        tmp_path,
+        test_fleet.two_replicas_each,
+        heartbeat_ms=SLOW_HEARTBEAT_MS,
+    ) as system:
+        ended = system.replicas[2]
+        start_again(ended)
+        addresses = system.fleet.control_addresses
+        ended.control_addresses = [addresses[0]]
+        assert await ended.send_heartbeat()
+        await leave(system, ended, 1)
+        assert await count_requests(system, ended) == 0
+        ended.control_addresses = [addresses[0]]
+
+        async def serves() -> bool:
+            return await count_requests(system, ended) > 0
+
+        await system.wait_until(serves, RETURN_SECONDS)
+        await kill_all_members(system)
+        assert await count_requests(system, ended) > 0
+        # Its own end holds, through another restart, too.
+        await leave(system, ended, 2)
+        await kill_all_members(system)
+        assert await count_requests(system, ended) == 0
