Keep a start that outlasted a late end when members restart or lag

A start that registers again after an end that was not its own was ended anew by a member that restarted, or had been cut off, and told the others of that end: the log held it under an earlier start. The next heartbeat of an ended start is now committed with the end, and a registration keeps up to which start ends have been applied. Found by reading; the replay in tests/registry/test_endings.py covers a restarted member and one that lags.

--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -61,7 +61,7 @@
         known = await self._wait_for_start(upstream, now)
         drain_seconds = 0 if known.leaving else self.registry.drain_seconds
         covered_until_ms = endings.covered_until_ms(
-            self.registry.earliest_time_ms(upstream, now),
+            endings.earliest_time_ms(self.registry.records, upstream, now),
             self.unix_clock.unix_ms(now),
             drain_seconds * MILLISECONDS_PER_SECOND,
         )
@@ -86,20 +86,6 @@
             return None
         return record.departure()
 
-    async def commit_covered(
-        self, heartbeat: registry_pb2.Registration, now: float
-    ) -> result.Result[None, NotRecorded]:
-        """Commit that an incarnation is one of those that ended.
-
-        Its first heartbeat arrived at `now`, after the end of its upstream. If
-        its heartbeats go on, all members register it again.
-        """
-        record = self.registry.records.get(heartbeat.id)
-        departure = record.departure() if record else None
-        if departure is None or departure.registration != heartbeat:
-            return result.Ok(None)
-        return await self.commit(departure, now)
-
     async def _wait_for_start(
         self, upstream: str, now: float
     ) -> registry_pb2.Registration:
@@ -119,6 +105,23 @@
             return registry_pb2.Registration(id=upstream)
         return record.registration
 
+    async def commit_covered(
+        self, heartbeat: registry_pb2.Registration, now: float
+    ) -> result.Result[None, NotRecorded]:
+        """Commit that the incarnation of a heartbeat has ended, if it has.
+
+        The log may hold the end under an earlier incarnation. If the heartbeats
+        go on, the incarnation registers again; all members then tell this from
+        the heartbeat that was committed.
+        """
+        ended = self.registry.records.get(heartbeat.id)
+        if ended is None or ended.started_unix_ms != heartbeat.started_unix_ms:
+            return result.Ok(None)
+        departure = ended.departure()
+        if departure is None:
+            return result.Ok(None)
+        return await self.commit(departure, now)
+
     async def commit(
         self, departure: registry_pb2.RecordDeparture, now: float
     ) -> result.Result[None, NotRecorded]:
--- a/cranberryrill/registry/endings.py
+++ b/cranberryrill/registry/endings.py
@@ -11,6 +11,8 @@
 """
 
 import enum
+import statistics
+from collections import abc
 
 from cranberryrill.registry import records, registry_pb2, timing
 
@@ -18,6 +20,8 @@
 # that ended, whatever its start. Members learn of an end later than the
 # upstream at times.
 CERTAIN_SHARE = 0.75
+# Starts of other upstreams from which the time by their clocks is derived.
+MIN_STARTS = 3
 
 
 class Effect(enum.Enum):
@@ -30,6 +34,26 @@
     ignored = 'ignored'
 
 
+def earliest_time_ms(
+    known: abc.Mapping[str, records.Record], upstream: str, now: float
+) -> float | None:
+    """Return a lower bound of the time by the clock of an upstream.
+
+    An incarnation has run at least since its first heartbeat was received.
+    Without one of this upstream, the median of the others is returned, or None
+    if there are too few. In Unix milliseconds.
+    """
+    own = known.get(upstream)
+    if own is not None and own.first_heard_at is not None:
+        return own.time_ms(own.first_heard_at, now)
+    times = [
+        record.time_ms(record.first_heard_at, now)
+        for record in known.values()
+        if record.first_heard_at is not None
+    ]
+    return statistics.median(times) if len(times) >= MIN_STARTS else None
+
+
 def covered_until_ms(
     earliest_ms: float | None, clock_ms: float, drain_ms: float
 ) -> int:
@@ -57,9 +81,8 @@
     started = heartbeat.started_unix_ms
     if started > ended.ended_until_ms:
         certain_until = ended.updated_at + CERTAIN_SHARE * drain_seconds
-        has_announced = ended.covered_until_ms > 0
-        is_draining = has_announced and not ended.registration.leaving
-        if is_draining and now < certain_until:
+        serves_on = ended.covered_until_ms and not ended.registration.leaving
+        if serves_on and now < certain_until:
             return Effect.covered
         return Effect.registers
     if not ended.covered_until_ms:
@@ -93,6 +116,8 @@
         )
     if current.started_unix_ms > ended_until_ms:
         return False
+    if covered_ms and covered_ms <= current.covered_until_ms:
+        return False
     lasts = current.updated_at >= ended_at + timing.RETURN_SECONDS
     return not (lasts and has_returned(registration, current.registration))
 
--- a/cranberryrill/registry/records.py
+++ b/cranberryrill/registry/records.py
@@ -20,8 +20,8 @@
     change_number: int = 0
     # Monotonic end of the cold time that watchers are told.
     cold_until: float = -math.inf
-    # Incarnations that started up to then have ended, in Unix milliseconds; 0
-    # if no end was announced.
+    # Up to this start announced ends have been applied, in Unix milliseconds; 0
+    # if there were none. A registration that is not removed outlasted them.
     covered_until_ms: int = 0
     # Monotonic seconds of the first heartbeat of this incarnation; None if that
     # did not come to this process or to a member that told it.
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -7,7 +7,6 @@
 """
 
 import math
-import statistics
 
 from cranberryrill.registry import endings, records, registry_pb2, timing
 
@@ -17,8 +16,6 @@
 COLD_MARGIN_SECONDS = 0.25
 # Sequence number of the first heartbeat of an incarnation, or below.
 FIRST_SEQUENCE = 1
-# Starts of other upstreams from which the time by their clocks is derived.
-MIN_STARTS = 3
 
 
 class RegistrationTable:
@@ -64,7 +61,8 @@
         Ignored if a newer one of the same upstream is stored, or if an
         upstream that started later is registered at the same address. A stored
         one removes other upstreams at its address. With `removed`, each start
-        up to `covered_until_ms` has ended, too. `now` is in monotonic seconds.
+        up to `covered_until_ms` has ended; else the ends up to then are known
+        to whoever sent it. `now` is in monotonic seconds.
         """
         if removed:
             return self._end(registration, now, covered_until_ms)
@@ -72,7 +70,11 @@
             return False
         if self._is_replaced(registration):
             return False
-        self._store(registration, now)
+        current = self.records.get(registration.id)
+        known_ms = current.covered_until_ms if current else 0
+        self._store(
+            registration, now, covered_until_ms=max(covered_until_ms, known_ms)
+        )
         self._remove_replaced(registration, now)
         return True
 
@@ -173,23 +175,6 @@
             covered_until_ms=sighting.covered_until_unix_ms,
         )
 
-    def earliest_time_ms(self, upstream: str, now: float) -> float | None:
-        """Return a lower bound of the time by the clock of an upstream.
-
-        An incarnation has run at least since its first heartbeat was received.
-        Without one of this upstream, the median of the others is returned, or
-        None if there are too few. In Unix milliseconds.
-        """
-        own = self.records.get(upstream)
-        if own is not None and own.first_heard_at is not None:
-            return own.time_ms(own.first_heard_at, now)
-        times = [
-            record.time_ms(record.first_heard_at, now)
-            for record in self.records.values()
-            if record.first_heard_at is not None
-        ]
-        return statistics.median(times) if len(times) >= MIN_STARTS else None
-
     def _may_register(
         self, heartbeat: registry_pb2.Registration, now: float
     ) -> bool:
--- a/tests/registry/test_endings.py
+++ b/tests/registry/test_endings.py
@@ -54,9 +54,10 @@
         for sighting in first.sightings_since(change_number, now):
             for other in self.tables:
                 other.merge(sighting, now + self.rng.uniform(0.01, 0.25))
-        ended = first.records[heartbeat.id].departure()
-        if ended is not None and ended.registration == heartbeat:
-            self.apply(ended, first.records[heartbeat.id].updated_at)
+        record = first.records[heartbeat.id]
+        ended = record.departure()
+        if ended and record.started_unix_ms == heartbeat.started_unix_ms:
+            self.apply(ended, record.updated_at)
         return taken
 
     def end(self, upstream: str, now: float) -> registry_pb2.RecordDeparture:
@@ -258,7 +259,7 @@
     started_at = END_AT - 0.5
     if is_known:
         group.hear(heartbeat(started_at), started_at + 0.01)
-    group.end('u1', END_AT)
+    first_end = group.end('u1', END_AT)
     sequence = 1
     sent_at = END_AT + 0.1
     while not group.hear(heartbeat(started_at, sequence), sent_at):
@@ -267,13 +268,21 @@
         assert sent_at < END_AT + 12
     assert sent_at > END_AT + timing.RETURN_SECONDS
     assert group.knows('u1')
-    # A member that restarts applies the log, and registers it at once.
+    # A member that restarts applies the log and its archive.
     restarted = table.RegistrationTable(started_at=sent_at)
-    group.tables.append(restarted)
     age = timing.RESTORED_DEPARTURE_AGE_SECONDS
     apply_at(restarted, group.log.by_id['u1'], sent_at - age)
-    sequence += 1
-    assert restarted.record(heartbeat(started_at, sequence), sent_at + 1)
+    restarted.restore(heartbeat(started_at, sequence), sent_at)
+    assert set(restarted.registrations()) == {'u1'}
+    # One that has missed this tells the others of the end once more.
+    behind = table.RegistrationTable()
+    behind.record(heartbeat(100), 100)
+    apply_at(behind, first_end, END_AT)
+    group.tables.append(restarted)
+    for sighting in behind.sightings_since(0, sent_at):
+        for each in group.tables:
+            each.merge(sighting, sent_at)
+    assert all('u1' in each.registrations() for each in group.tables[:3])
     # Its own end is news, and is stored.
     before = group.log.by_id['u1']
     own = group.end('u1', sent_at + 2)
