Bound the arrival of an end by any heartbeat of its upstream

An upstream whose first heartbeats find no member, as at the start of a system, told nothing about its clock: if that is ahead, a start before the end could lie after the time that the end covered. Each heartbeat is now a lower bound of the time by the clock of its upstream, and the range of possible arrivals is a type.

The replay test_any_heartbeat_bounds fails without the bound.

--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -60,10 +60,14 @@
             return repeated
         known = await self._wait_for_start(upstream, now)
         drain_seconds = 0 if known.leaving else self.registry.drain_seconds
-        covered_until_ms = endings.covered_until_ms(
-            endings.earliest_time_ms(self.registry.records, upstream, now),
+        arrival = endings.arrival_of(
+            upstream,
+            self.registry.records,
             self.unix_clock.unix_ms(now),
-            drain_seconds * MILLISECONDS_PER_SECOND,
+            now,
+        )
+        covered_until_ms = arrival.covered_until_ms(
+            drain_seconds * MILLISECONDS_PER_SECOND
         )
         return registry_pb2.RecordDeparture(
             registration=known,
--- a/cranberryrill/registry/endings.py
+++ b/cranberryrill/registry/endings.py
@@ -10,6 +10,7 @@
 clocks that it is derived from. One that has drained may start again at once.
 """
 
+import dataclasses
 import enum
 import statistics
 from collections import abc
@@ -34,41 +35,51 @@
     ignored = 'ignored'
 
 
-def earliest_time_ms(
-    known: abc.Mapping[str, records.Record], upstream: str, now: float
-) -> float | None:
-    """Return a lower bound of the time by the clock of an upstream.
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """When an announcement arrived, by the clock of its upstream.
 
-    An incarnation has run at least since its first heartbeat was received.
-    Without one of this upstream, the median of the others is returned, or None
-    if there are too few. In Unix milliseconds.
+    A range, in Unix milliseconds.
     """
-    own = known.get(upstream)
-    if own is not None and own.first_heard_at is not None:
-        return own.time_ms(own.first_heard_at, now)
-    times = [
-        record.time_ms(record.first_heard_at, now)
-        for record in known.values()
-        if record.first_heard_at is not None
-    ]
-    return statistics.median(times) if len(times) >= MIN_STARTS else None
 
+    earliest_ms: float
+    latest_ms: float
+
+    def covered_until_ms(self, drain_ms: float) -> int:
+        """Return the latest start that the end covers, in Unix milliseconds.
+
+        It lies in the middle between the latest arrival and the first start
+        after the earliest one. No incarnation starts for `drain_ms`.
+        """
+        width_ms = min(self.latest_ms - self.earliest_ms, drain_ms)
+        return int(self.earliest_ms + (width_ms + drain_ms) / 2)
 
-def covered_until_ms(
-    earliest_ms: float | None, clock_ms: float, drain_ms: float
-) -> int:
-    """Return the latest start that an end covers, in Unix milliseconds.
 
-    No incarnation starts for `drain_ms` after the arrival of the announcement.
-    `clock_ms` is the time of its arrival by the clock of this member.
-    `earliest_ms` is a lower bound of that time by the clock of the upstream,
-    derived from starts; None if no start is known. The result lies in the
-    middle of the times that both allow.
+def arrival_of(
+    upstream: str,
+    known: abc.Mapping[str, records.Record],
+    clock_ms: float,
+    now: float,
+) -> Arrival:
+    """Return when an announcement arrived that came at monotonic time `now`.
+
+    `clock_ms` is the time by the clock of this member, which may be seconds
+    off. What upstreams sent at their start tells the time by their own clocks.
     """
-    if earliest_ms is None:
-        return int(clock_ms + drain_ms / 2)
-    ahead_ms = min(max(clock_ms - earliest_ms, 0), drain_ms)
-    return int(earliest_ms + (ahead_ms + drain_ms) / 2)
+    own = known[upstream].first_heard if upstream in known else None
+    own_ms = own.earliest_time_ms(now) if own else 0
+    latest_ms = max(clock_ms, own_ms)
+    if own and own.is_first_sent:
+        return Arrival(own_ms, latest_ms)
+    times = [
+        record.first_heard.earliest_time_ms(now)
+        for record in known.values()
+        if record.first_heard and record.first_heard.is_first_sent
+    ]
+    if len(times) < MIN_STARTS:
+        return Arrival(latest_ms, latest_ms)
+    earliest_ms = max(statistics.median(times), own_ms)
+    return Arrival(earliest_ms, max(latest_ms, earliest_ms))
 
 
 def effect_of(
--- a/cranberryrill/registry/records.py
+++ b/cranberryrill/registry/records.py
@@ -8,6 +8,25 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
+@dataclasses.dataclass(frozen=True)
+class FirstHeard:
+    """The first heartbeat that was received of one incarnation."""
+
+    started_unix_ms: int
+    # Monotonic seconds.
+    heard_at: float
+    # Whether it is the first one that the incarnation sent.
+    is_first_sent: bool
+
+    def earliest_time_ms(self, now: float) -> float:
+        """Return a lower bound of the time by the clock of the upstream.
+
+        It has run at least since the heartbeat was received.
+        """
+        elapsed_ms = (now - self.heard_at) * MILLISECONDS_PER_SECOND
+        return self.started_unix_ms + elapsed_ms
+
+
 @dataclasses.dataclass(frozen=True)
 class Record:
     """The newest registration of one upstream, and whether it has ended."""
@@ -23,9 +42,9 @@
     # Up to this start announced ends have been applied, in Unix milliseconds; 0
     # if there were none. A registration that is not removed outlasted them.
     covered_until_ms: int = 0
-    # Monotonic seconds of the first heartbeat of this incarnation; None if that
-    # did not come to this process or to a member that told it.
-    first_heard_at: float | None = None
+    # First heartbeat of this incarnation that came to this process, or to a
+    # member that told it; None before that.
+    first_heard: FirstHeard | None = None
 
     @property
     def started_unix_ms(self) -> int:
@@ -47,11 +66,6 @@
             covered_until_unix_ms=self.covered_until_ms,
         )
 
-    def time_ms(self, first_heard_at: float, now: float) -> float:
-        """Return the time by the upstream's clock, if it was heard at once."""
-        elapsed_ms = (now - first_heard_at) * MILLISECONDS_PER_SECOND
-        return self.started_unix_ms + elapsed_ms
-
 
 def changes_routing(current: Record, stored: Record) -> bool:
     """Return whether watchers need to be told of a new record."""
--- a/cranberryrill/registry/table.py
+++ b/cranberryrill/registry/table.py
@@ -240,25 +240,30 @@
             self.change_number,
             _cold_until(current, registration, now),
             covered_until_ms,
-            self._first_heard_at(current, registration, now),
+            self._first_heard(current, registration, now),
         )
         self.records[registration.id] = stored
         if current is None or records.changes_routing(current, stored):
             self.version += 1
 
-    def _first_heard_at(
+    def _first_heard(
         self,
         current: records.Record | None,
         registration: registry_pb2.Registration,
         now: float,
-    ) -> float | None:
-        if current is not None and (
-            current.started_unix_ms == registration.started_unix_ms
-        ):
-            return current.first_heard_at
-        if registration.sequence > FIRST_SEQUENCE or now < self.started_at:
-            return None
-        return now if registration.started_unix_ms else None
+    ) -> records.FirstHeard | None:
+        started_ms = registration.started_unix_ms
+        if current is not None and current.started_unix_ms == started_ms:
+            known = current.first_heard
+        else:
+            known = None
+        # One from the archive or from a snapshot was heard by an earlier
+        # process.
+        if known is not None or now < self.started_at or not started_ms:
+            return known
+        return records.FirstHeard(
+            started_ms, now, registration.sequence <= FIRST_SEQUENCE
+        )
 
     def _is_replaced(self, candidate: registry_pb2.Registration) -> bool:
         """Return whether a later upstream is registered at its address."""
--- a/tests/registry/test_endings.py
+++ b/tests/registry/test_endings.py
@@ -181,6 +181,18 @@
     check_starts_around_end(group, rng, rng.uniform(-0.45, 0.45))
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_any_heartbeat_bounds_the_clock_of_an_upstream_that_is_ahead(
+    seed: int,
+) -> None:
+    # Failed where the first heartbeats of an upstream had found no member.
+    rng = random.Random(seed)
+    group = Group(rng, 0)
+    ahead = rng.uniform(0, MAX_CLOCK_ERROR_SECONDS)
+    group.hear(heartbeat(100, 3, ahead=ahead), 100 + rng.uniform(0.01, 0.6))
+    check_starts_around_end(group, rng, ahead)
+
+
 def test_start_ahead_of_all_clocks_is_covered_within_the_drain_time() -> None:
     # Failed when any start later than the clock of the member registered.
     group = Group(random.Random(1), 0)
