--- a/cranberryrill/configuration/state.py
+++ b/cranberryrill/configuration/state.py
@@ -1,13 +1,12 @@
 """Replicated state of the configuration, the keys and the traffic document."""
 
 import collections
-import hashlib
 import typing
 from collections import abc as collection_types
 
 from google.protobuf import message
 
-from cranberryrill.configuration import active, document
+from cranberryrill.configuration import accepted_traffic, active, document
 from cranberryrill.membership import membership_pb2
 from cranberryrill.state import commands_pb2
 
@@ -17,8 +16,6 @@
 MAX_HISTORY_REVISIONS = 1_000
 # Accepted changes that operators can list.
 MAX_CHANGE_RECORDS = 500
-# Traffic documents of which a repeat is recognised.
-MAX_ACCEPTED_TRAFFIC = 64
 # Changed objects that a change record names; the others are only counted.
 MAX_NAMED_OBJECTS = 8
 Verdict = commands_pb2.ChangeOutcome
@@ -54,9 +51,7 @@
         self.records: collections.deque[commands_pb2.ChangeRecord] = (
             collections.deque(maxlen=MAX_CHANGE_RECORDS)
         )
-        self.accepted_traffic: collections.deque[
-            commands_pb2.AcceptedTraffic
-        ] = collections.deque(maxlen=MAX_ACCEPTED_TRAFFIC)
+        self.accepted_traffic = accepted_traffic.AcceptedTraffic()
 
     def apply(
         self, command: commands_pb2.Command, index: int, unix_ms: int
@@ -77,17 +72,6 @@
         known = self.find_outcome(put.change_id, put.request_digest)
         return known or self._put_key(put, unix_ms)
 
-    def accepted_version(self, source: bytes) -> int | None:
-        """Return the version of an accepted traffic document, or None.
-
-        `source` is the text that the operator sent.
-        """
-        digest = hashlib.sha256(source).digest()
-        for accepted in self.accepted_traffic:
-            if accepted.digest == digest:
-                return accepted.version
-        return None
-
     def update_since(self, revision: int) -> membership_pb2.StateUpdate:
         """Return the update from `revision` to the current revision.
 
@@ -151,7 +135,7 @@
             memory=self.memory.values(),
             records=self.records,
             configured_revision=self.configured_revision,
-            accepted_traffic=self.accepted_traffic,
+            accepted_traffic=self.accepted_traffic.latest,
         )
         return dump.SerializeToString()
 
@@ -171,11 +155,9 @@
         self.configured_revision = dump.configured_revision
         for remembered in dump.memory:
             self.memory[remembered.change_id] = remembered
-        self.accepted_traffic.clear()
-        self.accepted_traffic.extend(dump.accepted_traffic)
-        if self.configuration.traffic.version and not self.accepted_traffic:
-            # A snapshot of an earlier version has only the one in force.
-            self._remember_traffic()
+        self.accepted_traffic.load(
+            dump.accepted_traffic, self.configuration.traffic
+        )
 
     def find_outcome(
         self, change_id: str, digest: bytes
@@ -253,18 +235,9 @@
         self._commit_revision(
             self.configuration.revision + 1, (traffic_change,), ()
         )
-        self._remember_traffic()
+        self.accepted_traffic.remember(self.configuration.traffic)
         return self._outcome(Verdict.ACCEPTED)
 
-    def _remember_traffic(self) -> None:
-        traffic = self.configuration.traffic
-        self.accepted_traffic.append(
-            commands_pb2.AcceptedTraffic(
-                version=traffic.version,
-                digest=hashlib.sha256(traffic.source.encode()).digest(),
-            )
-        )
-
     def _drop_old_traffic(self) -> None:
         """Remove older traffic documents from the history.
 
--- a/cranberryrill/traffic/publisher.py
+++ b/cranberryrill/traffic/publisher.py
@@ -97,7 +97,9 @@
         program may have accepted it, and its repeat must not be refused.
         """
         current = await self._wait_until_current(requested_at)
-        return current.map(lambda _: self.state.accepted_version(source))
+        return current.map(
+            lambda _: self.state.accepted_traffic.version_of(source)
+        )
 
     async def _wait_until_current(
         self, requested_at: float
--- a/tests/registry/test_endings.py
+++ b/tests/registry/test_endings.py
@@ -3,15 +3,12 @@
 The replays give upstreams and members clocks that differ by seconds.
 """
 
-import asyncio
 import random
-import typing
 
 import pytest
 
 from cranberryrill import clock
 from cranberryrill.registry import (
-    departure_recorder,
     departures,
     endings,
     records,
@@ -20,138 +17,43 @@
     timing,
 )
 from cranberryrill.state import commands_pb2
+from tests.registry import group as replayed
 
 DRAIN_SECONDS = 2.0
-# Unix time at the monotonic time 0, in milliseconds.
-UNIX_MS = 1_700_000_000_000
 END_AT = 200.0
 MAX_CLOCK_ERROR_SECONDS = 4.0
 # An upstream calls another member after a second without an answer.
 MAX_HEARTBEAT_SECONDS = 0.95
 MAX_DELAY_SECONDS = 6.0
 SEEDS = range(150)
-Registration = registry_pb2.Registration
 Effect = endings.Effect
 
 
-class Group:
-    """Control members that hear of each heartbeat and apply each departure."""
-
-    def __init__(self, rng: random.Random, error_seconds: float) -> None:
-        self.rng = rng
-        self.tables = [table.RegistrationTable() for _ in range(3)]
-        self.log = departures.DeparturesState(lambda *_: True)
-        self.error_seconds = error_seconds
-
-    def hear(self, heartbeat: Registration, now: float) -> bool:
-        """Receive a heartbeat at one member; return whether it registers.
-
-        The others hear of it a moment later.
-        """
-        first = self.rng.choice(self.tables)
-        change_number = first.change_number
-        taken = first.record(heartbeat, now)
-        for sighting in first.sightings_since(change_number, now):
-            for other in self.tables:
-                other.merge(sighting, now + self.rng.uniform(0.01, 0.25))
-        record = first.records[heartbeat.id]
-        ended = record.departure()
-        if ended and record.started_unix_ms == heartbeat.started_unix_ms:
-            self.apply(ended, record.updated_at)
-        return taken
-
-    def end(self, upstream: str, now: float) -> registry_pb2.RecordDeparture:
-        """Announce the end of an upstream at one member; apply it at all."""
-        first = self.rng.choice(self.tables)
-        recorder = departure_recorder.DepartureRecorder(
-            first,
-            departures.DeparturesState(lambda *_: True),
-            typing.cast(typing.Any, None),
-            clock.SteadyUnixClock(
-                0,
-                UNIX_MS
-                + int(self.error_seconds * clock.MILLISECONDS_PER_SECOND),
-            ),
-        )
-        departure = asyncio.run(recorder.end(upstream, now))
-        self.apply(departure, now)
-        return departure
-
-    def apply(
-        self, departure: registry_pb2.RecordDeparture, now: float
-    ) -> None:
-        """Apply a departure that was committed at `now`."""
-        if self.log.covers(departure):
-            return
-        command = commands_pb2.Command(record_departure=departure)
-        self.log.apply(command, 1, UNIX_MS)
-        for each in self.tables:
-            apply_at(each, departure, now + self.rng.uniform(0, 0.05))
-
-    def knows(self, upstream: str) -> bool:
-        return any(upstream in each.registrations() for each in self.tables)
-
-
-def apply_at(
-    member: table.RegistrationTable,
-    departure: registry_pb2.RecordDeparture,
-    now: float,
-) -> None:
-    member.record(
-        departure.registration,
-        now,
-        removed=departure.removed,
-        covered_until_ms=departure.covered_until_unix_ms,
-    )
-
-
-def heartbeat(
-    started_at: float,
-    sequence: int = 1,
-    *,
-    name: str = 'u1',
-    ahead: float = 0,
-) -> Registration:
-    """Return a heartbeat of a start at monotonic time `started_at`.
-
-    The clock of the upstream is ahead by that many seconds.
-    """
-    started_ms = UNIX_MS + int(
-        (started_at + ahead) * clock.MILLISECONDS_PER_SECOND
-    )
-    return Registration(
-        id=name,
-        service='model',
-        host=name,
-        port=80,
-        started_unix_ms=started_ms,
-        sequence=sequence,
-    )
-
-
 def check_starts_around_end(
-    group: Group, rng: random.Random, ahead: float
+    group: replayed.Group, rng: random.Random, ahead: float
 ) -> None:
     """End an upstream whose heartbeat is late; start it after the drain."""
     started_at = END_AT - rng.uniform(0.1, MAX_HEARTBEAT_SECONDS)
     group.end('u1', END_AT)
     arrived_at = END_AT + rng.uniform(0.05, MAX_DELAY_SECONDS)
-    assert not group.hear(heartbeat(started_at, ahead=ahead), arrived_at)
+    assert not group.hear(
+        replayed.heartbeat(started_at, ahead=ahead), arrived_at
+    )
     assert not group.knows('u1')
     restarted_at = END_AT + DRAIN_SECONDS + rng.uniform(0.06, 3)
-    again = heartbeat(restarted_at, ahead=ahead)
+    again = replayed.heartbeat(restarted_at, ahead=ahead)
     assert group.hear(again, restarted_at + rng.uniform(0.001, 0.9))
     assert group.knows('u1')
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_late_first_heartbeat_after_a_crash_is_covered(seed: int) -> None:
-    # Failed when the start before the crash was taken for the one that ends.
+    # Guards against an end that is taken for that of the start before the crash.
     rng = random.Random(seed)
     error = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
     ahead = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
-    group = Group(rng, error)
-    first = heartbeat(100, ahead=ahead)
+    group = replayed.Group(rng, error)
+    first = replayed.heartbeat(100, ahead=ahead)
     group.hear(first, 100 + rng.uniform(0.001, MAX_HEARTBEAT_SECONDS))
     check_starts_around_end(group, rng, ahead)
 
@@ -160,14 +62,16 @@
 def test_starts_of_others_tell_the_time_for_an_unknown_upstream(
     seed: int,
 ) -> None:
-    # Failed when the clock of the member alone was compared with the start.
+    # Guards against starts that are compared with the member's clock alone.
     rng = random.Random(seed)
     error = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
     ahead = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
-    group = Group(rng, error)
+    group = replayed.Group(rng, error)
     for number in range(5):
         started_at = 100 + rng.uniform(0, 50)
-        other = heartbeat(started_at, name=f'other-{number}', ahead=ahead)
+        other = replayed.heartbeat(
+            started_at, name=f'other-{number}', ahead=ahead
+        )
         group.hear(other, started_at + rng.uniform(0.001, 0.3))
     check_starts_around_end(group, rng, ahead)
 
@@ -177,7 +81,7 @@
     seed: int,
 ) -> None:
     rng = random.Random(seed)
-    group = Group(rng, rng.uniform(-0.45, 0.45))
+    group = replayed.Group(rng, rng.uniform(-0.45, 0.45))
     check_starts_around_end(group, rng, rng.uniform(-0.45, 0.45))
 
 
@@ -187,38 +91,42 @@
 ) -> None:
     # Failed where the first heartbeats of an upstream had found no member.
     rng = random.Random(seed)
-    group = Group(rng, 0)
+    group = replayed.Group(rng, 0)
     ahead = rng.uniform(0, MAX_CLOCK_ERROR_SECONDS)
-    group.hear(heartbeat(100, 3, ahead=ahead), 100 + rng.uniform(0.01, 0.6))
+    group.hear(
+        replayed.heartbeat(100, 3, ahead=ahead), 100 + rng.uniform(0.01, 0.6)
+    )
     check_starts_around_end(group, rng, ahead)
 
 
 def test_start_ahead_of_all_clocks_is_covered_within_the_drain_time() -> None:
-    # Failed when any start later than the clock of the member registered.
-    group = Group(random.Random(1), 0)
+    # Guards against a late heartbeat that registers, as its start lies ahead.
+    group = replayed.Group(random.Random(1), 0)
     group.end('u1', END_AT)
-    early = heartbeat(END_AT - 0.8, ahead=60)
+    early = replayed.heartbeat(END_AT - 0.8, ahead=60)
     assert not group.hear(early, END_AT + 1.4)
-    assert not group.hear(heartbeat(END_AT - 0.8, 2, ahead=60), END_AT + 4)
+    assert not group.hear(
+        replayed.heartbeat(END_AT - 0.8, 2, ahead=60), END_AT + 4
+    )
 
 
 def test_known_start_ahead_of_all_clocks_ends() -> None:
-    group = Group(random.Random(1), 0)
-    group.hear(heartbeat(100, 50, ahead=60), 100)
+    group = replayed.Group(random.Random(1), 0)
+    group.hear(replayed.heartbeat(100, 50, ahead=60), 100)
     group.end('u1', END_AT)
     assert not group.knows('u1')
-    assert not group.hear(heartbeat(100, 51, ahead=60), END_AT + 1)
+    assert not group.hear(replayed.heartbeat(100, 51, ahead=60), END_AT + 1)
 
 
 def test_repeated_announcement_covers_no_more() -> None:
     # Guards against an end, sent again as its answer was lost, that ends the
     # next start.
-    group = Group(random.Random(1), 0)
-    group.hear(heartbeat(100), 100.01)
+    group = replayed.Group(random.Random(1), 0)
+    group.hear(replayed.heartbeat(100), 100.01)
     first = group.end('u1', END_AT)
     assert group.end('u1', END_AT + DRAIN_SECONDS - 0.1) == first
     restarted_at = END_AT + DRAIN_SECONDS + 0.1
-    assert group.hear(heartbeat(restarted_at), restarted_at + 0.01)
+    assert group.hear(replayed.heartbeat(restarted_at), restarted_at + 0.01)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -227,16 +135,18 @@
     rng = random.Random(seed)
     error = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
     ahead = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
-    group = Group(rng, error)
-    group.hear(heartbeat(100, ahead=ahead), 100 + rng.uniform(0.001, 0.2))
-    draining = heartbeat(100, 9, ahead=ahead)
+    group = replayed.Group(rng, error)
+    group.hear(
+        replayed.heartbeat(100, ahead=ahead), 100 + rng.uniform(0.001, 0.2)
+    )
+    draining = replayed.heartbeat(100, 9, ahead=ahead)
     draining.leaving = True
     group.hear(draining, END_AT - 3)
     group.end('u1', END_AT)
     if rng.choice([True, False]):
         group.end('u1', END_AT + 0.3)
     restarted_at = END_AT + rng.uniform(0.35, 3)
-    again = heartbeat(restarted_at, ahead=ahead)
+    again = replayed.heartbeat(restarted_at, ahead=ahead)
     assert group.hear(again, restarted_at + 0.01)
 
 
@@ -244,18 +154,18 @@
 def test_late_first_heartbeat_after_a_drained_start_is_covered(
     seed: int,
 ) -> None:
-    # Failed when the start that had drained was taken for the one that ends.
+    # Guards against an end that is taken for that of the drained start.
     rng = random.Random(seed)
     error = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
-    group = Group(rng, error)
-    group.hear(heartbeat(100), 100 + rng.uniform(0.001, 0.2))
-    draining = heartbeat(100, 9)
+    group = replayed.Group(rng, error)
+    group.hear(replayed.heartbeat(100), 100 + rng.uniform(0.001, 0.2))
+    draining = replayed.heartbeat(100, 9)
     draining.leaving = True
     group.hear(draining, END_AT - 5)
     # Later than the first heartbeat before was, at each member.
     started_at = END_AT - rng.uniform(0.5, MAX_HEARTBEAT_SECONDS)
     group.end('u1', END_AT)
-    late = heartbeat(started_at)
+    late = replayed.heartbeat(started_at)
     assert not group.hear(late, END_AT + rng.uniform(0.05, MAX_DELAY_SECONDS))
     assert not group.knows('u1')
 
@@ -264,17 +174,17 @@
 def test_start_that_goes_on_after_a_late_announcement_returns(
     *, is_known: bool
 ) -> None:
-    # Failed when a late announcement of an earlier start ended this one for
-    # good.
-    group = Group(random.Random(1), 0)
-    group.hear(heartbeat(100), 100.01)
+    # Guards against a late announcement of an earlier start that ends this one
+    # for good.
+    group = replayed.Group(random.Random(1), 0)
+    group.hear(replayed.heartbeat(100), 100.01)
     started_at = END_AT - 0.5
     if is_known:
-        group.hear(heartbeat(started_at), started_at + 0.01)
+        group.hear(replayed.heartbeat(started_at), started_at + 0.01)
     first_end = group.end('u1', END_AT)
     sequence = 1
     sent_at = END_AT + 0.1
-    while not group.hear(heartbeat(started_at, sequence), sent_at):
+    while not group.hear(replayed.heartbeat(started_at, sequence), sent_at):
         sequence += 1
         sent_at += timing.DEFAULT_HEARTBEAT_SECONDS
         assert sent_at < END_AT + 12
@@ -283,13 +193,13 @@
     # A member that restarts applies the log and its archive.
     restarted = table.RegistrationTable(started_at=sent_at)
     age = timing.RESTORED_DEPARTURE_AGE_SECONDS
-    apply_at(restarted, group.log.by_id['u1'], sent_at - age)
-    restarted.restore(heartbeat(started_at, sequence), sent_at)
+    replayed.apply_at(restarted, group.log.by_id['u1'], sent_at - age)
+    restarted.restore(replayed.heartbeat(started_at, sequence), sent_at)
     assert set(restarted.registrations()) == {'u1'}
     # One that has missed this tells the others of the end once more.
     behind = table.RegistrationTable()
-    behind.record(heartbeat(100), 100)
-    apply_at(behind, first_end, END_AT)
+    behind.record(replayed.heartbeat(100), 100)
+    replayed.apply_at(behind, first_end, END_AT)
     group.tables.append(restarted)
     for sighting in behind.sightings_since(0, sent_at):
         for each in group.tables:
@@ -305,14 +215,16 @@
 
 def test_leaving_of_a_start_that_returned_is_recorded() -> None:
     ended = registry_pb2.RecordDeparture(
-        registration=heartbeat(100, 5),
+        registration=replayed.heartbeat(100, 5),
         removed=True,
-        covered_until_unix_ms=UNIX_MS + 200_000,
+        covered_until_unix_ms=replayed.UNIX_MS + 200_000,
     )
     state = departures.DeparturesState(lambda *_: True)
-    state.apply(commands_pb2.Command(record_departure=ended), 1, UNIX_MS)
+    state.apply(
+        commands_pb2.Command(record_departure=ended), 1, replayed.UNIX_MS
+    )
     leaving = registry_pb2.RecordDeparture(
-        registration=heartbeat(100, 5 + timing.RETURN_HEARTBEATS + 1)
+        registration=replayed.heartbeat(100, 5 + timing.RETURN_HEARTBEATS + 1)
     )
     assert not state.covers(leaving)
     leaving.registration.sequence -= 1
@@ -321,12 +233,15 @@
 
 def test_single_late_heartbeat_does_not_return() -> None:
     ended = records.Record(
-        heartbeat(100, 5), END_AT, removed=True, covered_until_ms=UNIX_MS
+        replayed.heartbeat(100, 5),
+        END_AT,
+        removed=True,
+        covered_until_ms=replayed.UNIX_MS,
     )
-    last = heartbeat(100, 5 + timing.RETURN_HEARTBEATS)
+    last = replayed.heartbeat(100, 5 + timing.RETURN_HEARTBEATS)
     far = END_AT + 2 * timing.RETURN_SECONDS
     assert endings.effect_of(ended, last, far, DRAIN_SECONDS) is Effect.ignored
-    burst = heartbeat(100, 6 + timing.RETURN_HEARTBEATS)
+    burst = replayed.heartbeat(100, 6 + timing.RETURN_HEARTBEATS)
     soon = END_AT + timing.RETURN_SECONDS - 0.1
     assert endings.effect_of(ended, burst, soon, DRAIN_SECONDS) is (
         Effect.ignored
@@ -335,11 +250,11 @@
 
 def test_upstream_replaced_at_its_address_may_start_again() -> None:
     registry = table.RegistrationTable()
-    registry.record(heartbeat(100, name='u1'), 100)
-    later = heartbeat(150, name='u2')
+    registry.record(replayed.heartbeat(100, name='u1'), 100)
+    later = replayed.heartbeat(150, name='u2')
     later.host = 'u1'
     registry.record(later, 150)
-    moved = heartbeat(151)
+    moved = replayed.heartbeat(151)
     moved.host = 'elsewhere'
     assert registry.record(moved, 151)
 
@@ -349,13 +264,14 @@
     # A member that restarts applies the log first, and then its archive.
     registry = table.RegistrationTable(started_at=END_AT)
     age = departures.age_seconds(
-        UNIX_MS - int(age_seconds * clock.MILLISECONDS_PER_SECOND), UNIX_MS
+        replayed.UNIX_MS - int(age_seconds * clock.MILLISECONDS_PER_SECOND),
+        replayed.UNIX_MS,
     )
-    ended = heartbeat(100, 5)
-    covered_ms = heartbeat(END_AT - 50).started_unix_ms
+    ended = replayed.heartbeat(100, 5)
+    covered_ms = replayed.heartbeat(END_AT - 50).started_unix_ms
     registry.record(
         ended, END_AT - age, removed=True, covered_until_ms=covered_ms
     )
-    registry.restore(heartbeat(100, 5), END_AT + 0.1)
-    registry.restore(heartbeat(END_AT - 60), END_AT + 0.1)
+    registry.restore(replayed.heartbeat(100, 5), END_AT + 0.1)
+    registry.restore(replayed.heartbeat(END_AT - 60), END_AT + 0.1)
     assert not registry.registrations()
