--- a/tests/registry/test_endings.py
+++ b/tests/registry/test_endings.py
@@ -48,7 +48,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_late_first_heartbeat_after_a_crash_is_covered(seed: int) -> None:
-    # Guards against an end that is taken for that of the start before the crash.
+    # Guards against an end that is taken for that of the start before a crash.
     rng = random.Random(seed)
     error = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
     ahead = rng.uniform(-MAX_CLOCK_ERROR_SECONDS, MAX_CLOCK_ERROR_SECONDS)
