--- a/cranberryrill/programs/fleet_control.py
+++ b/cranberryrill/programs/fleet_control.py
@@ -183,7 +183,7 @@
         It may be acknowledged only if the result is not an error.
         """
         recorder = self.replicated.departure_recorder
-        departure = await recorder.end(upstream, now)
+        departure = await recorder.find_departure(upstream, now)
         is_news = self.replicated.registry.record(
             departure.registration,
             now,
--- a/cranberryrill/registry/departure_recorder.py
+++ b/cranberryrill/registry/departure_recorder.py
@@ -48,7 +48,7 @@
         self.proposer = proposer
         self.unix_clock = unix_clock
 
-    async def end(
+    async def find_departure(
         self, upstream: str, now: float
     ) -> registry_pb2.RecordDeparture:
         """Return the departure of an upstream that announced its end at `now`.
--- a/cranberryrill/registry/endings.py
+++ b/cranberryrill/registry/endings.py
@@ -100,8 +100,8 @@
         return Effect.ignored
     if started > ended.started_unix_ms:
         return Effect.covered
-    lasts = now >= ended.updated_at + timing.RETURN_SECONDS
-    if lasts and has_returned(ended.registration, heartbeat):
+    is_past_delays = now >= ended.updated_at + timing.RETURN_SECONDS
+    if is_past_delays and has_returned(ended.registration, heartbeat):
         return Effect.registers
     return Effect.ignored
 
@@ -129,8 +129,10 @@
         return False
     if covered_ms and covered_ms <= current.covered_until_ms:
         return False
-    lasts = current.updated_at >= ended_at + timing.RETURN_SECONDS
-    return not (lasts and has_returned(registration, current.registration))
+    is_past_delays = current.updated_at >= ended_at + timing.RETURN_SECONDS
+    return not (
+        is_past_delays and has_returned(registration, current.registration)
+    )
 
 
 def has_returned(
--- a/tests/registry/group.py
+++ b/tests/registry/group.py
@@ -57,7 +57,7 @@
                 + int(self.error_seconds * clock.MILLISECONDS_PER_SECOND),
             ),
         )
-        departure = asyncio.run(recorder.end(upstream, now))
+        departure = asyncio.run(recorder.find_departure(upstream, now))
         self.apply(departure, now)
         return departure
 
--- a/tests/registry/test_departure_recorder.py
+++ b/tests/registry/test_departure_recorder.py
@@ -83,7 +83,7 @@
     # Failed when an unknown upstream's end was acknowledged and forgotten.
     recorder, _ = make_recorder()
     now = clock.monotonic_seconds()
-    ending = asyncio.create_task(recorder.end('u1', now))
+    ending = asyncio.create_task(recorder.find_departure('u1', now))
     await asyncio.sleep(0.05)
     recorder.registry.merge(
         registry_pb2.Sighting(registration=REGISTRATION), now
@@ -125,7 +125,7 @@
     recorder: departure_recorder.DepartureRecorder, now: float
 ) -> registry_pb2.RecordDeparture:
     """Deregister an upstream; return its departure."""
-    departure = await recorder.end('u1', now)
+    departure = await recorder.find_departure('u1', now)
     recorder.registry.record(
         departure.registration,
         now,
