--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -63,6 +63,16 @@
     return system.fleet.processes_by_name[name]
 
 
+async def kill_all_members(system: test_fleet.System) -> None:
+    """Kill all members at once, start them, and let them elect a leader."""
+    for vm in system.fleet.members:
+        system.fleet.processes_by_name[vm.name].kill()
+    await asyncio.sleep(0.5)
+    for vm in system.fleet.members:
+        system.fleet.start(vm)
+    await asyncio.sleep(SETTLE_SECONDS)
+
+
 async def test_departure_survives_the_member_that_acknowledged_it(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -95,12 +105,7 @@
         leaving = system.replicas[2]
         await leave(system, leaving, 1)
         await asyncio.sleep(0.8)
-        for vm in system.fleet.members:
-            system.fleet.processes_by_name[vm.name].kill()
-        await asyncio.sleep(0.5)
-        for vm in system.fleet.members:
-            system.fleet.start(vm)
-        await asyncio.sleep(SETTLE_SECONDS)
+        await kill_all_members(system)
         leaving.control_addresses = system.fleet.control_addresses
         # The same sequence number as that of the last heartbeat.
         leaving.heartbeat_sequence -= 1
@@ -162,15 +167,6 @@
     replica.heartbeat_sequence = 0
 
 
-async def kill_all_members(system: test_fleet.System) -> None:
-    for vm in system.fleet.members:
-        system.fleet.processes_by_name[vm.name].kill()
-    await asyncio.sleep(0.5)
-    for vm in system.fleet.members:
-        system.fleet.start(vm)
-    await asyncio.sleep(SETTLE_SECONDS)
-
-
 @pytest.mark.parametrize('kills', [False, True])
 async def test_end_covers_a_start_whose_first_heartbeat_is_late(
     tmp_path: pathlib.Path, *, kills: bool
