End the threads of the upstream that answers early, which slowed later tests

The processor time was not theirs: the scripted upstream of test_early_responses.py read a head byte by byte and took the end of the connection for a byte of no length. A product that sees an upstream fail connects to it once more, sends nothing and closes, and the thread of the upstream read without end from then on, in each run of the two cases of test_callers_see_that_an_early_response_is_incomplete. What came next in the same worker of pytest shared the interpreter's lock with two such threads.

Ruled out: the garbage collector (0.03 to 0.1 s).

The fixture waits for the thread now, which fails in both cases without the change. The reader of bodies in tests/relay had the same loop and ends likewise.

--- a/tests/forwarding/test_early_responses.py
+++ b/tests/forwarding/test_early_responses.py
@@ -29,6 +29,7 @@
 REPEATS = 10
 # Until the rest of the request arrives at a side that is half closed.
 RESET_PAUSE_SECONDS = 0.02
+JOIN_SECONDS = 5.0
 PART = b'%s\r\npart' % scripted.HEAD
 # Ends the connection at once, with a reset.
 NO_LINGER = struct.pack('ii', 1, 0)
@@ -56,7 +57,8 @@
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
         self.port: int = self.listener.getsockname()[1]
-        threading.Thread(target=self.serve, daemon=True).start()
+        self.thread = threading.Thread(target=self.serve, daemon=True)
+        self.thread.start()
 
     def serve(self) -> None:
         with contextlib.suppress(OSError):
@@ -66,12 +68,12 @@
                     self.answer(connection)
 
     def answer(self, connection: socket.socket) -> None:
-        received = b''
-        while b'\r\n\r\n' not in received:
-            received += connection.recv(1)
+        head = b''
+        while b'\r\n\r\n' not in head:
+            head += receive(connection, 1)
         left = self.read_bytes
         while left:
-            left -= len(connection.recv(min(left, READ_BYTES)))
+            left -= len(receive(connection, min(left, READ_BYTES)))
         connection.sendall(self.response)
         if self.end is End.half_closed:
             connection.shutdown(socket.SHUT_WR)
@@ -82,6 +84,14 @@
             )
 
 
+def receive(connection: socket.socket, most_bytes: int) -> bytes:
+    """Return the next bytes; raise `ConnectionError` if there are no more."""
+    received = connection.recv(most_bytes)
+    if not received:
+        raise ConnectionAbortedError
+    return received
+
+
 @pytest.fixture
 def start_upstream() -> abc.Iterator[typing.Any]:
     """Provide a function that starts an upstream until the test ends."""
@@ -93,7 +103,11 @@
 
     yield start
     for upstream in started:
+        # Unlike `close` alone, this ends an `accept` that waits.
+        upstream.listener.shutdown(socket.SHUT_RDWR)
         upstream.listener.close()
+        upstream.thread.join(JOIN_SECONDS)
+        assert not upstream.thread.is_alive()
 
 
 async def send(port: int, body: bytes) -> exchange.Exchange:
--- a/tests/relay/test_upstream.py
+++ b/tests/relay/test_upstream.py
@@ -80,7 +80,10 @@
         name, _, value = line.partition(b':')
         if name.lower() == b'content-length':
             while len(body) < int(value):
-                body += connection.recv(65536)
+                part = connection.recv(65536)
+                if not part:
+                    return content
+                body += part
     return b'\r\n\r\n'.join((head, body))
 
 
